--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,7 @@
+#![doc = include_str!("../README.md")]
+#![forbid(unsafe_code)]
+
+pub mod api;
+pub mod balancer;
+mod state;
+pub mod wire;
--- /dev/null
+++ b/src/state.rs
@@ -0,0 +1,197 @@
+//! What a balancer remembers: plain data for `balancer.rs`, where everything is decided.
+
+use crate::api::{BackendId, Micros, RequestId};
+use rustc_hash::FxHashMap;
+
+/// The samples of one server since its limit was last judged.
+#[derive(Clone, Copy, Default)]
+pub(crate) struct Window {
+    pub(crate) since: Micros,
+    pub(crate) count: u32,
+    pub(crate) sum: f64,
+    /// Whether IFR came near the limit; a limit that was not used is not known to be good.
+    pub(crate) filled: bool,
+}
+
+/// What this proxy may send a cold server: one token a send.
+///
+/// Rule 4: every proxy finds the empty newcomer the roomiest at once. Each takes only its own share of what
+/// the server can stand, and starts at a random point of its token's period so that they don't come together.
+#[derive(Clone, Copy)]
+pub(crate) struct ColdBudget {
+    pub(crate) started: Micros,
+    pub(crate) tokens: f64,
+    pub(crate) filled_at: Micros,
+}
+
+#[derive(Default)]
+pub(crate) struct Server {
+    pub(crate) id: BackendId,
+    pub(crate) zone: u16,
+    pub(crate) kind: u8,
+    pub(crate) cell: u16,
+    pub(crate) ready: bool,
+    pub(crate) started: Option<Micros>,
+    pub(crate) in_flight: u32,
+    pub(crate) limit: f64,
+    pub(crate) dither: f64,
+    /// The limit is its kind's; its own windows have not been judged.
+    pub(crate) probing: bool,
+    /// The part of its kind's limit that its last report gave it, and when.
+    pub(crate) part: (f64, Micros),
+    pub(crate) window: Window,
+    /// Share of failures among its latest outcomes.
+    pub(crate) failures: f64,
+    /// Since when it owes an answer without having given any.
+    pub(crate) silent_since: Micros,
+    pub(crate) ejected_until: Option<Micros>,
+    pub(crate) strikes: u32,
+    /// It turned a request away and until then counts as having no room.
+    pub(crate) full_until: Micros,
+    /// A single request is out to see whether the server is back.
+    pub(crate) trial_out: bool,
+    pub(crate) cold: Option<ColdBudget>,
+    /// When each of this proxy's connections to it was last in use.
+    pub(crate) rested: Vec<Micros>,
+}
+
+#[derive(Clone, Copy, PartialEq)]
+pub(crate) enum AttemptState {
+    Out,
+    NeverRan,
+    MayHaveRun,
+}
+
+#[derive(Clone, Copy)]
+pub(crate) struct Attempt {
+    pub(crate) server: usize,
+    pub(crate) sent_at: Micros,
+    /// How long its connection had rested.
+    pub(crate) rested: Micros,
+    pub(crate) state: AttemptState,
+}
+
+/// A request that this proxy took and whose attempts have not all ended.
+pub(crate) struct Open {
+    pub(crate) id: RequestId,
+    pub(crate) class: usize,
+    pub(crate) arrived: Micros,
+    pub(crate) deadline: Micros,
+    pub(crate) over_share: bool,
+    /// The client has its final answer, or left.
+    pub(crate) answered: bool,
+    pub(crate) streaming: bool,
+    pub(crate) held_until: Option<Micros>,
+    pub(crate) attempts: Vec<Attempt>,
+}
+
+impl Open {
+    pub(crate) fn out(&self) -> usize {
+        self.attempts.iter().filter(|a| a.state == AttemptState::Out).count()
+    }
+}
+
+/// Where a request may go next (rule 2).
+#[derive(Clone, Copy, PartialEq)]
+pub(crate) enum Scope {
+    Anywhere,
+    Zone(u16),
+    Cell(u16),
+    Nowhere,
+}
+
+/// How far a proxy with few slots spreads its requests.
+pub(crate) struct Pool {
+    /// The sum of the limits of the servers that are near.
+    pub(crate) slots: f64,
+    /// The factor on every limit when it is rounded to slots.
+    pub(crate) spread: f64,
+    /// The most requests in flight.
+    pub(crate) most: u32,
+    pub(crate) judged_at: Option<Micros>,
+}
+
+/// What one server of a kind of machine takes from all proxies together.
+#[derive(Clone)]
+pub(crate) struct CommonLimit {
+    pub(crate) limit: f64,
+    pub(crate) growing: bool,
+    /// The mean service time that its servers' load reports tell, milliseconds; 0: none yet.
+    pub(crate) service: f64,
+    pub(crate) window: Window,
+}
+
+/// Latencies of a class on one kind of machine.
+#[derive(Clone, Copy)]
+pub(crate) struct Latency {
+    pub(crate) count: u32,
+    pub(crate) mean: f64,
+    /// The lowest that the mean has been, drifting up slowly: the latency without crowding.
+    pub(crate) base: f64,
+    pub(crate) base_at: Micros,
+}
+
+pub(crate) struct Bucket {
+    pub(crate) tokens: f64,
+    pub(crate) at: Micros,
+    /// Requests of late, fading within seconds.
+    pub(crate) asked: f64,
+}
+
+/// Events a second: the best four seconds so far, fading. A single second of a small proxy says too much.
+pub(crate) struct PeakRate {
+    pub(crate) count: f64,
+    pub(crate) since: Micros,
+    pub(crate) peak: f64,
+}
+
+/// The requests that this proxy took, each at a place that stays the same; places are used again.
+#[derive(Default)]
+pub(crate) struct Requests {
+    places: Vec<Open>,
+    free: Vec<usize>,
+    by_id: FxHashMap<RequestId, usize>,
+}
+
+impl Requests {
+    pub(crate) fn find(&self, id: RequestId) -> Option<usize> {
+        self.by_id.get(&id).copied()
+    }
+
+    pub(crate) fn get(&self, place: usize) -> Option<&Open> {
+        self.places.get(place)
+    }
+
+    pub(crate) fn insert(&mut self, mut open: Open) -> usize {
+        let place = self.free.pop().unwrap_or(self.places.len());
+        self.by_id.insert(open.id, place);
+        match self.places.get_mut(place) {
+            Some(old) => {
+                // The list of attempts keeps its memory: no allocation on the hot path.
+                std::mem::swap(&mut open.attempts, &mut old.attempts);
+                open.attempts.clear();
+                *old = open;
+            }
+            None => self.places.push(open),
+        }
+        place
+    }
+
+    pub(crate) fn release(&mut self, place: usize) {
+        self.by_id.remove(&self.places[place].id);
+        self.free.push(place);
+    }
+}
+
+impl std::ops::Index<usize> for Requests {
+    type Output = Open;
+    fn index(&self, place: usize) -> &Open {
+        &self.places[place]
+    }
+}
+
+impl std::ops::IndexMut<usize> for Requests {
+    fn index_mut(&mut self, place: usize) -> &mut Open {
+        &mut self.places[place]
+    }
+}
--- /dev/null
+++ b/tests/module.rs
@@ -0,0 +1,410 @@
+//! The module through its interface: the mechanism, and a test for each failure found.
+
+mod common;
+
+use common::*;
+use haventrack::api::*;
+
+fn one_zone(n: u32) -> Vec<Backend> {
+    (0..n).map(|id| Backend { zone: 0, cell: 0, ..backend(id) }).collect()
+}
+
+fn single_zone() -> Settings {
+    Settings { zones: 1, ..settings() }
+}
+
+/// Lets `per_tick` requests come every 10 ms for some time, each served after `latency`.
+fn load(
+    proxy: &mut Proxy,
+    from: RequestId,
+    ticks: u32,
+    per_tick: u32,
+    latency: impl Fn(BackendId) -> Micros,
+) {
+    for tick in 0..ticks {
+        (0..per_tick).for_each(|n| _ = proxy.request(request(from + tick * per_tick + n, 0)));
+        proxy.advance(10 * MS);
+        proxy.serve(&latency);
+    }
+}
+
+#[test]
+fn each_request_goes_where_most_room_is() {
+    let mut full = Proxy::new(single_zone(), one_zone(5));
+    (0..100).for_each(|id| _ = full.request(request(id, 0)));
+    let mut proxy = Proxy::new(single_zone(), one_zone(5));
+    for id in 0..full.out().len() as u32 {
+        let room: Vec<usize> = (0..5).map(|s| full.in_flight(s) - proxy.in_flight(s)).collect();
+        let chosen = sent_to(&proxy.request(request(id, 0))).expect("there is room");
+        assert_eq!(Some(&room[chosen as usize]), room.iter().max());
+    }
+}
+
+#[test]
+fn in_flight_never_passes_what_the_limits_allow_and_the_rest_is_held_then_refused() {
+    let mut proxy = Proxy::new(single_zone(), one_zone(4));
+    (0..100).for_each(|id| _ = proxy.request(request(id, 0)));
+    let sent = proxy.out().len();
+    assert!((4..=8).contains(&sent), "the first limit is 1.5 a server, {sent} were sent to four");
+    proxy.advance(150 * MS);
+    assert_eq!(proxy.requests.values().filter(|t| t.ended).count(), 0, "held for a tenth of two seconds");
+    proxy.advance(60 * MS);
+    let refusals = proxy.log.iter().filter(|(_, a)| matches!(a, Action::Refuse { retry_after: 1.., .. }));
+    assert_eq!(refusals.count(), 100 - sent);
+}
+
+#[test]
+fn limits_rise_while_answers_are_quick_and_fall_when_they_are_slow() {
+    let mut proxy = Proxy::new(single_zone(), one_zone(2));
+    load(&mut proxy, 0, 300, 4, |_| 40 * MS);
+    let quick = proxy.out().len();
+    assert!(quick >= 8, "two servers that keep up take more than their first limit: {quick}");
+    load(&mut proxy, 10_000, 500, 4, |_| 450 * MS);
+    let slow = proxy.out().len();
+    assert!(slow <= 6, "near the aim the limits have fallen: {slow}");
+}
+
+#[test]
+fn a_held_request_of_higher_worth_goes_first() {
+    let mut settings = single_zone();
+    settings.classes[2].worth = 10.0;
+    let mut proxy = Proxy::new(settings, one_zone(1));
+    (0..10).for_each(|id| _ = proxy.request(request(id, 0)));
+    proxy.request(request(50, 2));
+    let (id, attempt, _) = proxy.out()[0];
+    proxy.advance(50 * MS);
+    let actions = proxy.settle(id, attempt, Outcome::Ok);
+    assert!(matches!(actions[..], [Action::Send { request: 50, .. }, ..]), "{actions:?}");
+}
+
+#[test]
+fn other_zones_are_used_only_when_the_own_one_has_no_room() {
+    let mut proxy = Proxy::new(settings(), (0..6).map(backend));
+    let zones: Vec<u32> =
+        (0..30).filter_map(|id| sent_to(&proxy.request(request(id, 0)))).map(|server| server % 2).collect();
+    assert!(zones.contains(&0) && zones.contains(&1), "even ids are the own zone's: {zones:?}");
+    assert!(zones.is_sorted(), "the own zone is filled first: {zones:?}");
+}
+
+/// Incident i5cb7d4: a server that turns requests away looked the emptiest of all and attracted every send.
+#[test]
+fn a_server_that_turns_away_is_left_alone_for_a_while() {
+    let mut proxy = Proxy::new(single_zone(), one_zone(3));
+    let full = sent_to(&proxy.request(request(0, 0))).expect("there is room");
+    proxy.settle(0, 0, Outcome::Full);
+    assert_eq!(proxy.in_flight(full), 0);
+    (1..9).for_each(|id| _ = proxy.request(request(id, 0)));
+    assert_eq!(proxy.in_flight(full), 0, "it has the most room, but just turned one away");
+}
+
+#[test]
+fn a_failing_server_is_ejected_and_comes_back_by_a_single_trial_of_a_repeatable_request() {
+    let mut proxy = Proxy::new(single_zone(), one_zone(4));
+    let mut id = 0;
+    while !proxy
+        .log
+        .iter()
+        .any(|(_, a)| matches!(a, Action::Log(line) if line.starts_with("ejected server 2")))
+    {
+        id += 1;
+        assert!(id < 400, "server 2 fails every request and must be ejected");
+        proxy.request(request(id, 0));
+        for (request, attempt, server) in proxy.out() {
+            proxy.settle(request, attempt, if server == 2 { Outcome::Error } else { Outcome::Ok });
+        }
+        proxy.advance(20 * MS);
+    }
+    proxy.advance(1300 * MS);
+    (1000..1030).for_each(|id| _ = proxy.request(request(id, 1)));
+    assert_eq!(proxy.in_flight(2), 0, "no trial with a request that must not run twice");
+    proxy.advance(3 * SECOND);
+    (2000..2030).for_each(|id| _ = proxy.request(request(id, 0)));
+    assert_eq!(proxy.in_flight(2), 1, "a single trial");
+    let (id, attempt, _) = *proxy.out().iter().find(|o| o.2 == 2).expect("the trial");
+    proxy.settle(id, attempt, Outcome::Ok);
+    assert!(
+        proxy
+            .log
+            .iter()
+            .any(|(_, a)| matches!(a, Action::Log(line) if line.starts_with("readmitted server 2")))
+    );
+}
+
+#[test]
+fn not_all_servers_are_ejected_at_once() {
+    let mut proxy = Proxy::new(single_zone(), one_zone(5));
+    for id in 0..300 {
+        proxy.request(request(id, 0));
+        proxy.out().iter().for_each(|o| _ = proxy.settle(o.0, o.1, Outcome::Error));
+        proxy.advance(5 * MS);
+    }
+    while let Some(&(id, attempt, _)) = proxy.out().first() {
+        proxy.settle(id, attempt, Outcome::Error);
+    }
+    let ejected =
+        proxy.log.iter().filter(|(_, a)| matches!(a, Action::Log(line) if line.starts_with("ejected")));
+    assert!(ejected.count() >= 3);
+    let sent = (1000..1040).filter(|&id| sent_to(&proxy.request(request(id, 0))).is_some()).count();
+    assert!(sent > 0, "somebody still serves");
+}
+
+/// A server that has answered nothing for long gets nothing more, and the requests that it holds are not sent
+/// twice: second copies of what was overdue cost crowded fleets more than they saved.
+#[test]
+fn a_hung_server_gets_nothing_more_and_its_requests_are_not_copied() {
+    let mut proxy = Proxy::new(single_zone(), one_zone(3));
+    load(&mut proxy, 0, 100, 2, |_| 30 * MS);
+    proxy.serve(|_| 0);
+    let hung = sent_to(&proxy.request(request(5000, 0))).expect("there is room");
+    for tick in 0..60 {
+        let sent = sent_to(&proxy.request(request(5001 + tick, 0)));
+        assert!(tick < 25 || sent != Some(hung), "a quarter of a second without an answer");
+        proxy.advance(10 * MS);
+        proxy.out().iter().filter(|o| o.2 != hung).for_each(|o| _ = proxy.settle(o.0, o.1, Outcome::Ok));
+    }
+    assert_eq!(proxy.requests[&5000].attempts.len(), 1);
+}
+
+/// Quick errors read as low latency; they must not raise a limit.
+#[test]
+fn quick_errors_do_not_raise_a_limit() {
+    let mut proxy = Proxy::new(single_zone(), one_zone(1));
+    for id in 0..40 {
+        proxy.request(request(id, 0));
+        let outcome = if id % 3 == 0 { Outcome::Error } else { Outcome::Full };
+        proxy.out().iter().for_each(|o| _ = proxy.settle(o.0, o.1, outcome));
+        proxy.advance(50 * MS);
+    }
+    proxy.advance(5 * SECOND);
+    (1000..1100).for_each(|id| _ = proxy.request(request(id, 0)));
+    assert!(proxy.out().len() <= 2, "{} are out", proxy.out().len());
+}
+
+/// With limits shared by many proxies one may hold no slot anywhere; it must serve all the same.
+#[test]
+fn a_proxy_without_any_slot_still_serves() {
+    for me in 0..40 {
+        let settings = Settings { me, balancers: 40, ..single_zone() };
+        let mut proxy = Proxy::new(settings, one_zone(1));
+        assert_eq!(sent_to(&proxy.request(request(1, 0))), Some(0));
+    }
+}
+
+#[test]
+fn what_all_proxies_admit_does_not_grow_with_their_number() {
+    let admitted = |balancers| {
+        let sent = |me| {
+            let mut proxy = Proxy::new(Settings { me, balancers, ..single_zone() }, one_zone(50));
+            (0..200).for_each(|id| _ = proxy.request(request(id, 0)));
+            proxy.out().len()
+        };
+        (0..balancers).map(sent).sum::<usize>()
+    };
+    let (few, many) = (admitted(2), admitted(20));
+    assert!(few.abs_diff(many) * 4 < few, "2 proxies admit {few}, 20 admit {many}");
+    // With under three slots to a proxy the square root of them comes on top, so that chance finds room.
+    let slots: f64 = 50.0 * 1.5 / 40.0;
+    assert!(admitted(40) as f64 <= 40.0 * (slots + slots.sqrt() + 1.0));
+}
+
+#[test]
+fn requests_over_their_tenants_share_give_way_first() {
+    let tenants = vec![Tenant { allowance_per_s: 1.0 }, Tenant { allowance_per_s: 1000.0 }];
+    let mut proxy = Proxy::new(Settings { tenants, ..single_zone() }, one_zone(4));
+    load(&mut proxy, 10_000, 100, 2, |_| 20 * MS);
+    proxy.serve(|_| 0);
+    let mut flood = 0;
+    while sent_to(&proxy.request(Request { tenant: 0, ..request(flood, 0) })).is_some() {
+        flood += 1;
+    }
+    let within = sent_to(&proxy.request(Request { tenant: 1, ..request(9000, 0) }));
+    assert!(within.is_some(), "room is left for those within their share");
+}
+
+#[test]
+fn in_ask_mode_it_subscribes_and_tries_again_after_a_failure() {
+    let mut proxy = Proxy::new(Settings { discovery_on_request: true, ..settings() }, []);
+    let asked = |proxy: &Proxy| proxy.log.iter().filter(|(_, a)| *a == Action::Subscribe).count();
+    assert_eq!(asked(&proxy), 1);
+    for failures in 1..6 {
+        proxy.list(Membership::Failed);
+        assert_eq!(asked(&proxy), failures, "not at once");
+        proxy.advance(5 * SECOND);
+        assert_eq!(asked(&proxy), failures + 1);
+    }
+}
+
+#[test]
+fn a_stream_that_has_begun_is_left_alone() {
+    let mut proxy = Proxy::new(single_zone(), one_zone(3));
+    proxy.request(request(1, 0));
+    proxy.event(Event::FirstByte { request: 1, attempt: 0 });
+    proxy.now += SECOND;
+    proxy.advance(SECOND / 2);
+    assert!(!proxy.log.iter().any(|(_, a)| matches!(a, Action::Cancel { .. } | Action::Fail { .. })));
+}
+
+/// Incident i7e9ee7: where other proxies died, this one's traffic is more than its part of every allowance, and
+/// tenants within their share were treated as over it.
+#[test]
+fn a_tenant_that_asks_for_less_of_its_allowance_than_others_is_not_over_its_share() {
+    let tenants = vec![Tenant { allowance_per_s: 100.0 }, Tenant { allowance_per_s: 100.0 }];
+    let mut proxy = Proxy::new(Settings { tenants, balancers: 100, ..single_zone() }, one_zone(40));
+    let modest = |id| Request { tenant: 0, ..request(id, 0) };
+    let flood = |id| Request { tenant: 1, ..request(id, 0) };
+    let mut held = [0, 0];
+    for tick in 0..100 {
+        let id = tick * 100;
+        (0..20).for_each(|n| _ = proxy.request(flood(id + n)));
+        for (tenant, request) in [(0, modest(id + 50)), (1, flood(id + 51))] {
+            held[tenant] += usize::from(!refused(&proxy.request(request)));
+        }
+        proxy.advance(20 * MS);
+        proxy.serve(|_| 400 * MS);
+    }
+    assert!(held[0] > 95, "the modest tenant is sent or held, not refused at once: {held:?}");
+    assert!(held[1] < 60, "the flood gives way: {held:?}");
+}
+
+/// Lead of accra-register's first incident: hundreds of ejections and no readmission, as no class there is safe.
+#[test]
+fn a_keyed_request_may_be_the_trial_of_an_ejected_server() {
+    let mut proxy = Proxy::new(single_zone(), one_zone(3));
+    let broken = sent_to(&proxy.request(request(0, 4))).expect("there is room");
+    proxy.settle(0, 0, Outcome::Reset);
+    proxy.advance(3 * SECOND);
+    let trial = (1..20).any(|id| sent_to(&proxy.request(request(id, 4))) == Some(broken));
+    assert!(trial, "the ejection ends with a keyed request");
+}
+
+fn closed(actions: &[Action]) -> bool {
+    actions.iter().any(|a| matches!(a, Action::CloseIdle(_)))
+}
+
+/// kochi-main's idle_reap days: connections were dropped unseen while they rested, and each use of one lost a
+/// request. After the first loss, one that rested as long is closed before the next send.
+#[test]
+fn a_connection_that_rested_as_long_as_one_that_lost_a_request_is_closed_first() {
+    let mut proxy = Proxy::new(single_zone(), one_zone(1));
+    let mut id = 0;
+    let mut round = |proxy: &mut Proxy, rest: Micros, outcome: Outcome| {
+        proxy.advance(rest);
+        id += 1;
+        let actions = proxy.request(Request { patience: 300 * MS, ..request(id, 1) });
+        assert_eq!(sent_to(&actions), Some(0));
+        match outcome {
+            Outcome::Timeout => proxy.advance(300 * MS),
+            _ => _ = proxy.settle(id, 0, outcome),
+        }
+        closed(&actions)
+    };
+    round(&mut proxy, 0, Outcome::Ok);
+    assert!(!round(&mut proxy, SECOND, Outcome::Ok), "trusted until something is lost");
+    assert!(!round(&mut proxy, SECOND, Outcome::Timeout));
+    assert!(round(&mut proxy, SECOND, Outcome::Ok), "closed before the send");
+    assert!(!round(&mut proxy, 100 * MS, Outcome::Ok), "a short rest is trusted still");
+}
+
+/// A request lost on a rested connection is the connection's fault: the server is not ejected for it.
+#[test]
+fn a_loss_on_a_rested_connection_ejects_nobody() {
+    for (rest, ejects) in [(2 * SECOND, false), (0, true)] {
+        let mut proxy = Proxy::new(single_zone(), one_zone(2));
+        for id in 0..2 {
+            let server = sent_to(&proxy.request(request(id, 1))).expect("there is room");
+            assert!(server < 2);
+        }
+        (0..2).for_each(|id| _ = proxy.settle(id, 0, Outcome::Ok));
+        proxy.advance(rest);
+        proxy.request(request(2, 1));
+        proxy.settle(2, 0, Outcome::Reset);
+        let ejected = proxy.log.iter().any(|(_, a)| matches!(a, Action::Log(l) if l.starts_with("ejected")));
+        assert_eq!(ejected, ejects);
+    }
+}
+
+/// kochi-main at full size: with under one slot in all, a proxy could not send two requests at the same time, and
+/// refused the second although the fleet was idle.
+#[test]
+fn a_proxy_with_few_slots_can_have_more_than_one_request_out_on_different_servers() {
+    let two = |me| {
+        let settings = Settings { me, balancers: 100, ..single_zone() };
+        let mut proxy = Proxy::new(settings, one_zone(60));
+        (0..4).for_each(|id| _ = proxy.request(request(id, 0)));
+        let servers: std::collections::BTreeSet<_> = proxy.out().iter().map(|o| o.2).collect();
+        assert_eq!(servers.len(), proxy.out().len(), "each on a server of its own");
+        servers.len() >= 2
+    };
+    assert!((0..40).filter(|&me| two(me)).count() > 20);
+}
+
+/// Rooms of slow servers at full size: one answer's report has to do, as windows never fill.
+#[test]
+fn a_report_of_a_slow_server_lowers_its_limit_at_once_where_a_proxy_has_few_slots() {
+    let mut settings = Settings { balancers: 100, ..single_zone() };
+    settings.report.avg_ms = Some(0);
+    let back = |slow: bool| {
+        let mut sends = 0;
+        for me in 0..20 {
+            let mut proxy = Proxy::new(Settings { me, ..settings.clone() }, one_zone(60));
+            for id in 0..100 {
+                proxy.request(request(id, 0));
+                proxy.advance(5 * MS);
+                for (id, attempt, server) in proxy.out().into_iter().filter(|_| id % 3 == 0) {
+                    sends += u32::from(server % 2 == 0);
+                    let told = if slow && server % 2 == 0 { 900.0 } else { 100.0 };
+                    proxy.settle_with(id, attempt, Outcome::Ok, &[told]);
+                }
+            }
+        }
+        sends
+    };
+    let (slow, usual) = (back(true), back(false));
+    assert!(slow * 4 < usual * 3, "{slow} sends to slow servers, {usual} when they are not slow");
+}
+
+/// A refusal for chance should not cost the client its aim; one for a full fleet should keep it away.
+#[test]
+fn a_refused_client_is_asked_back_sooner_where_a_proxy_has_few_slots() {
+    let wait = |balancers| {
+        let mut proxy = Proxy::new(Settings { balancers, ..single_zone() }, one_zone(40));
+        (0..200).for_each(|id| _ = proxy.request(request(id, 0)));
+        proxy.advance(300 * MS);
+        let waits = proxy.log.iter().filter_map(|(_, a)| match a {
+            Action::Refuse { retry_after, .. } => Some(*retry_after),
+            _ => None,
+        });
+        waits.max().expect("some are refused")
+    };
+    assert!(wait(200) < 100 * MS && wait(1) == 500 * MS);
+}
+
+/// Incident ifee80a: with a dither by chance for each pair of proxy and server, some proxies held no slot anywhere
+/// for good and refused what came together there.
+#[test]
+fn every_proxy_holds_about_as_many_slots_and_so_does_every_server() {
+    let (mut by_server, mut by_proxy) = (vec![0; 60], Vec::new());
+    for me in 0..200 {
+        let mut proxy = Proxy::new(Settings { me, balancers: 60, ..single_zone() }, one_zone(60));
+        (0..3).for_each(|id| _ = proxy.request(request(id, 0)));
+        by_proxy.push(proxy.out().len());
+        proxy.out().iter().for_each(|o| by_server[o.2 as usize] += 1);
+    }
+    assert!(by_proxy.iter().all(|&n| n >= 2), "{by_proxy:?}");
+    let (least, most) = (by_server.iter().min().expect("servers"), by_server.iter().max().expect("servers"));
+    assert!(most - least <= 8, "{by_server:?}");
+}
+
+/// A start or a key's time at the far end of the clock must not overflow.
+#[test]
+fn times_at_the_far_end_of_the_clock_are_no_trouble() {
+    let mut settings = single_zone();
+    settings.classes[2].effect = Effect::Keyed { group: DedupGroup::All, ttl: Micros::MAX };
+    let mut proxy = Proxy::new(settings, [Backend { started: Some(Micros::MAX), ..backend(0) }, backend(2)]);
+    for id in 0..4 {
+        proxy.request(request(id, 2));
+    }
+    let (id, attempt, _) = proxy.out()[0];
+    proxy.settle(id, attempt, Outcome::Error);
+    proxy.advance(3 * SECOND);
+}
--- /dev/null
+++ b/tests/wire.rs
@@ -0,0 +1,179 @@
+//! The wire by bytes: what the codec reads and writes, and what it says of bad input.
+
+use haventrack::api::*;
+use haventrack::wire::{self, BatchReader, Record, ReplyWriter, Scope};
+
+fn hex(text: &str) -> Vec<u8> {
+    let digits: Vec<u8> = text.bytes().filter(u8::is_ascii_hexdigit).collect();
+    let pair = |p: &[u8]| u8::from_str_radix(std::str::from_utf8(p).expect("ascii"), 16).expect("hex");
+    digits.chunks(2).map(pair).collect()
+}
+
+fn records(text: &str) -> Result<Vec<Record<'static>>, wire::WireError> {
+    let bytes: &'static [u8] = hex(text).leak();
+    let (mut reader, _) = BatchReader::new(bytes)?;
+    let mut all = Vec::new();
+    while let Some(record) = reader.next_record()? {
+        all.push(record);
+    }
+    Ok(all)
+}
+
+#[test]
+fn an_empty_batch_has_a_clock_and_an_empty_reply() {
+    let bytes = hex("00000000 00000008 0000000000805c5a");
+    let (mut reader, clock) = BatchReader::new(&bytes).expect("a whole batch");
+    assert_eq!(clock, 0x0080_5c5a);
+    assert_eq!(reader.next_record(), Ok(None));
+    assert_eq!(ReplyWriter::default().finish(), hex("00000000"));
+}
+
+#[test]
+fn events_of_two_instances_are_read_in_order() {
+    let read = records(
+        "00000005 00000045 0000000000805c5a
+         02 00000002 0003
+         0b 00000018 5d3a91c4 00 0000 91f03b7c55d20a64 0003a980 00002ee0 01
+         06 00000004 0000004d
+         02 00000002 0005
+         08 00000004 0e6f2b19",
+    )
+    .expect("a good batch");
+    assert_eq!(read[0], Record::SwitchTo(3));
+    let request = read[1].request().expect("a request");
+    assert_eq!((request.id, request.class, request.tenant), (0x5d3a_91c4, 0, 0));
+    assert_eq!((request.key, request.patience), (Some(0x91f0_3b7c_55d2_0a64), 240_000));
+    assert_eq!((request.work, request.repeat), (Some(12_000), false));
+    assert_eq!(read[2..], [Record::Wakeup(77), Record::SwitchTo(5), Record::Vanished(0x0e6f_2b19)]);
+}
+
+#[test]
+fn lists_and_outcomes_are_read() {
+    let read = records(
+        "00000003 00000066 0000000000805c5a
+         00 00000032 0000 00000002
+            03124a07 0000 00 0000 01 3f800000 0000000000000000
+            2c9011f2 0001 00 0000 02 3fc00000 00000000005d1420
+         07 00000007 02 00000029 0000
+         04 00000016 5d3a91c4 03124a07 01 012e 0002 00004844 01 40200000",
+    )
+    .expect("a good batch");
+    let Record::Page { list: 0, entries } = read[0] else { panic!("{:?}", read[0]) };
+    let entries = wire::parse_entries(entries).expect("good entries");
+    assert_eq!((entries[0].id, entries[0].zone, entries[0].started), (0x0312_4a07, 0, None));
+    assert_eq!(entries[1].started, Some(0x5d_1420));
+    assert_eq!(entries[1].readiness, Readiness::Draining);
+    assert_eq!(read[1], Record::Membership { scope: Scope::Cached, list: 0 });
+    let expected = Record::Settled {
+        request: 0x5d3a_91c4,
+        backend: 0x0312_4a07,
+        attempt: 2,
+        outcome: Outcome::Full,
+        closed: true,
+        elapsed: 0x4844,
+        report: vec![2.5],
+    };
+    assert_eq!(read[2], expected);
+}
+
+#[test]
+fn bad_input_is_named_with_its_offset() {
+    let cut = records("00000001 0000000d 0000000000805c5a 06 00000004").expect_err("fields are missing");
+    assert_eq!(cut.offset, 16);
+    let short =
+        records("00000001 0000000f 0000000000805c5a 06 00000002 0000").expect_err("a token has 4 bytes");
+    assert_eq!(short.offset, 21);
+    let count =
+        records("00000000 0000000f 0000000000805c5a 08 00000002 0000").expect_err("more than counted");
+    assert_eq!((count.offset, count.expected.as_str()), (16, "the end of the batch"));
+    let length = records("00000000 00000009 0000000000805c5a").expect_err("a byte is missing");
+    assert_eq!(length.offset, 4);
+    let outcome = records(
+        "00000001 00000020 0000000000805c5a
+         01 00000013 0065 00000001 00000002 00 0000000000000000",
+    )
+    .expect_err("101 is no outcome");
+    assert_eq!(outcome.offset, 21);
+}
+
+#[test]
+fn unknown_records_are_stepped_over() {
+    let read = records("00000002 0000001c 0000000000805c5a c8 00000006 010203040506 06 00000004 00000001");
+    assert_eq!(read, Ok(vec![Record::Unknown(200), Record::Wakeup(1)]));
+}
+
+#[test]
+fn actions_are_written_as_the_wire_says() {
+    let mut reply = ReplyWriter::default();
+    let send = Action::Send { request: 0x5d3a_91c4, backend: 0x0312_4a07, give_up_at: 0x8194da };
+    reply.action(3, &send);
+    reply.action(3, &Action::SetTimer { after: 500_000, token: 77 });
+    reply.action(5, &Action::Log("two servers known".into()));
+    let expected = "00000048
+        4c 00000002 0003
+        40 00000010 5d3a91c4 00000000008194da 03124a07
+        44 00000008 0007a120 0000004d
+        4c 00000002 0005
+        48 00000013 0011 74776f2073657276657273206b6e6f776e";
+    assert_eq!(reply.finish(), hex(expected));
+    reply.action(1, &Action::Refuse { request: 1, retry_after: 2 });
+    reply.action(1, &Action::Fail { request: 1 });
+    reply.action(1, &Action::Cancel { request: 1, attempt: 3 });
+    reply.action(1, &Action::Probe(9));
+    reply.action(1, &Action::Subscribe);
+    reply.action(1, &Action::CloseIdle(9));
+    reply.fatal(1, "x");
+    let expected = "00000048 4c 00000002 0001
+        41 00000008 00000001 00000002
+        42 00000004 00000001
+        43 00000006 00000001 0003
+        45 00000004 00000009
+        4a 00000001 01
+        46 00000004 00000009
+        49 00000003 0001 78";
+    assert_eq!(reply.finish(), hex(expected));
+}
+
+const SETTINGS: &str = r#"{"balancers": 5, "me": 2, "zone": 1, "failureDomains": ["a", "b"], "kinds": ["x"],
+  "membershipMode": "on_request", "surprise": {"more": 1}, "familyInfo": {"warmKeys": true}, "weights": "rough",
+  "classes": [{"aimUs": 500000, "deadlineUs": 900000, "effect": "dedup", "group": "cell", "keyTtlUs": 3000000,
+               "lateWorth": 0.5, "name": "n", "streamed": false, "worth": 2.0}],
+  "tenants": [{"name": "t", "allowancePerS": 12.5, "share": 1.0}], "overShareWorth": 0.1,
+  "penalties": {"crossZone": 0.12, "probe": 0.01}, "loadReport": {"fields": ["avg_ms", "active"], "via": "answers"},
+  "permissions": {"cancel": true, "maxAttempts": 5, "maxRetryAfterUs": 7, "probes": false, "retryAfter": true,
+                  "secondCopies": true},
+  "safety": {"askWithinUs": 10000000, "coldFrom": 0.33, "coldUs": 8199999, "fallMultiple": 3.0, "fallUs": 2000000}}"#;
+
+#[test]
+fn settings_are_read_and_unknown_keys_passed_over() {
+    let settings = wire::parse_settings(SETTINGS.as_bytes()).expect("good settings");
+    assert!(settings.discovery_on_request && settings.warm_keys);
+    assert_eq!((settings.me, settings.balancers, settings.zone, settings.zones), (2, 5, 1, 2));
+    let keyed = Effect::Keyed { group: DedupGroup::Cell, ttl: 3_000_000 };
+    assert_eq!(settings.classes[0].effect, keyed);
+    assert_eq!(
+        (settings.report.active, settings.report.avg_ms, settings.report.waiting),
+        (Some(1), Some(0), None)
+    );
+    assert_eq!(settings.permissions.retry_after, Some(7));
+    assert_eq!(settings.tenants[0].allowance_per_s, 12.5);
+}
+
+#[test]
+fn settings_that_make_no_sense_are_refused_by_name() {
+    let swaps = [
+        (r#""balancers": 5"#, r#""balancers": 0"#, "balancers"),
+        (r#""aimUs": 500000"#, r#""aimUs": 0"#, "classes[0].aim"),
+        (r#""effect": "dedup""#, r#""effect": "magic""#, "classes[0].effect"),
+        (r#""group": "cell""#, r#""group": "moon""#, "classes[0].group"),
+        (r#""coldFrom": 0.33"#, r#""coldFrom": 7"#, "cold_from"),
+        (r#""membershipMode": "on_request""#, r#""membershipMode": "guess""#, "membershipMode"),
+    ];
+    for (good, bad, field) in swaps {
+        let json = SETTINGS.replace(good, bad);
+        assert_ne!(json, SETTINGS);
+        assert_eq!(wire::parse_settings(json.as_bytes()).expect_err("it makes no sense").field, field);
+    }
+    let missing = wire::parse_settings(SETTINGS.replace("\"safety\"", "\"sagety\"").as_bytes());
+    assert!(missing.expect_err("a key is missing").problem.contains("safety"));
+}
