--- /dev/null
+++ b/src/bin/haventrack-proxy.rs
@@ -0,0 +1,110 @@
+//! One real proxy: start-up, signals, exit code.
+#![forbid(unsafe_code)]
+
+use haventrack::balancer::Balancer;
+use haventrack::proxy::backends::Fleet;
+use haventrack::proxy::clients::{Clients, Phase};
+use haventrack::proxy::clock::Clock;
+use haventrack::proxy::config::Config;
+use haventrack::proxy::discovery::{Translator, Watcher};
+use haventrack::proxy::driver::{Driver, Limits};
+use haventrack::proxy::log;
+use std::cell::Cell;
+use std::error::Error;
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpSocket};
+use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::sync::{mpsc, watch};
+use tokio::task::LocalSet;
+use tokio::time::{Instant, sleep, timeout_at};
+
+/// The kernel's queue of connections that are not accepted yet.
+const BACKLOG: u32 = 1_024;
+/// After SIGTERM, connections still come for a while: how long the proxy goes on at the least, and how long
+/// nobody must have connected.
+const DRAIN_LEAST: Duration = Duration::from_millis(800);
+const DRAIN_QUIET: Duration = Duration::from_millis(300);
+const DRAIN_STEP: Duration = Duration::from_millis(50);
+/// What the proxy takes beyond the longest deadline before it ends with clients still connected.
+const DRAIN_SLACK: Duration = Duration::from_millis(500);
+
+fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+    // A restarted proxy takes its old address although connections of the old process linger.
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
+async fn run(config: Config, mut stop: Signal) -> Result<(), Box<dyn Error>> {
+    let clock = Clock::start();
+    let settings = config.settings;
+    let longest = settings.classes.iter().map(|c| c.deadline).max().unwrap_or_default();
+    let asked = settings.discovery_on_request;
+    let limits =
+        Limits { max_attempts: settings.permissions.max_attempts, report_by_probe: settings.report_by_probe };
+    let fleet = Fleet::new(
+        config.backend_sockets,
+        config.dial_timeout,
+        settings.permissions.conn_idle,
+        config.names.report.clone(),
+    );
+    let listener = listen(config.listen).map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
+    let balancer = Balancer::new(settings.clone(), config.seed, clock.now())?;
+    let (subscribe, subscriptions) = mpsc::unbounded_channel();
+    let (driver, handle) = Driver::new(balancer, clock, Rc::clone(&fleet), limits, subscribe);
+    let held = Rc::new(Cell::new(false));
+    let translator = Translator::new(clock, &config.names);
+    let subscriptions = asked.then_some(subscriptions);
+    let mut watcher =
+        Watcher::new(config.discovery, translator, handle.clone(), Rc::clone(&held), subscriptions);
+    watcher.start_from(config.known);
+    let (phase, phases) = watch::channel(Phase::Running);
+    let clients = Clients::new(handle, clock, &settings, &config.names, held, phases, config.client_sockets);
+
+    let driver = tokio::task::spawn_local(driver.run());
+    tokio::task::spawn_local(watcher.run());
+    tokio::task::spawn_local(fleet.sweep());
+    tokio::task::spawn_local(Rc::clone(&clients).accept(listener));
+    tokio::select! {
+        ended = driver => Err(format!("the driver ended: {ended:?}").into()),
+        _ = stop.recv() => {
+            drain(&clients, &phase, Duration::from_micros(longest)).await;
+            Ok(())
+        }
+    }
+}
+
+/// Finishes what was taken, and what still comes.
+async fn drain(clients: &Clients, phase: &watch::Sender<Phase>, longest: Duration) {
+    let began = Instant::now();
+    let _ = phase.send(Phase::Draining);
+    while began.elapsed() < DRAIN_LEAST || (clients.quiet() < DRAIN_QUIET && began.elapsed() < longest) {
+        sleep(DRAIN_STEP).await;
+    }
+    let _ = phase.send(Phase::Closing);
+    let end = began + longest + DRAIN_SLACK;
+    while clients.open() > 0 && timeout_at(end, clients.one_ended()).await.is_ok() {}
+}
+
+fn start() -> Result<(), Box<dyn Error>> {
+    let config = Config::from_env()?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    LocalSet::new().block_on(&runtime, async {
+        let stop = signal(SignalKind::terminate())?;
+        run(config, stop).await
+    })
+}
+
+fn main() -> ExitCode {
+    match start() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            log(format_args!("haventrack-proxy: {error}"));
+            ExitCode::FAILURE
+        }
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,5 +3,6 @@
 
 pub mod api;
 pub mod balancer;
+pub mod proxy;
 mod state;
 pub mod wire;
--- /dev/null
+++ b/src/proxy/backends.rs
@@ -0,0 +1,513 @@
+//! Attempts on backends: connections, their pool, probes, and what came of each.
+//!
+//! A request is written to a connection once and never again by this side: whether it may be repeated is the
+//! module's to say, and it can only say so if it knows whether the last byte went out ([`Wire`] counts).
+
+use super::BODY_CAP;
+use crate::api::{BackendId, Micros, Outcome, Readiness};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::header::{CONTENT_LENGTH, CONTENT_TYPE, HOST, HeaderMap, HeaderName, HeaderValue};
+use hyper::{Method, Request, StatusCode, Uri};
+use hyper_util::rt::TokioIo;
+use rustc_hash::FxHashMap;
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::mem::MaybeUninit;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::sync::oneshot;
+use tokio::task::JoinHandle;
+use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
+
+/// How long before its idle limit a connection is no longer used: the backend's clock started earlier.
+const IDLE_MARGIN: Duration = Duration::from_secs(1);
+/// How long a probe may take once its connection is up.
+const PROBE_TIMEOUT: Duration = Duration::from_secs(1);
+const SWEEP_EVERY: Duration = Duration::from_secs(1);
+/// How long a connection may take to become free again behind its answer.
+const SETTLE_TIMEOUT: Duration = Duration::from_secs(1);
+const TIME_LEFT: HeaderName = HeaderName::from_static("x-time-left-ms");
+const UNPROCESSED: HeaderName = HeaderName::from_static("x-unprocessed");
+const LOAD: HeaderName = HeaderName::from_static("x-backend-load");
+
+/// What goes to a backend, the same at every attempt.
+#[derive(Debug)]
+pub struct Call {
+    /// The client's method.
+    pub method: Method,
+    /// Path and query, unchanged.
+    pub target: Uri,
+    /// The client's headers that pass through a proxy.
+    pub headers: HeaderMap,
+    /// The body, unchanged.
+    pub body: Bytes,
+}
+
+/// A backend's 200 answer.
+#[derive(Debug)]
+pub struct Served {
+    /// Its body, unchanged.
+    pub body: Bytes,
+    /// What the body is.
+    pub content_type: Option<HeaderValue>,
+}
+
+/// How an attempt or a probe ended.
+#[derive(Debug)]
+pub struct Ended {
+    /// The outcome in the module's terms.
+    pub outcome: Outcome,
+    /// The answer, where the outcome is [`Outcome::Ok`].
+    pub served: Option<Served>,
+    /// The load report that came along, in the order of the settings; empty: none.
+    pub report: Vec<f32>,
+}
+
+impl From<Outcome> for Ended {
+    fn from(outcome: Outcome) -> Self {
+        Self { outcome, served: None, report: Vec::new() }
+    }
+}
+
+/// A connection's socket, with a count of the bytes that it took.
+struct Wire {
+    stream: TcpStream,
+    written: Cell<u64>,
+}
+
+impl Wire {
+    /// Whether nothing has come in since the last answer: neither the backend's goodbye nor stray bytes. The
+    /// runtime may not have seen yet what the kernel knows already, so the socket itself is asked.
+    fn is_quiet(&self) -> bool {
+        let mut byte = [MaybeUninit::uninit()];
+        let peeked = socket2::SockRef::from(&self.stream).peek(&mut byte);
+        peeked.is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
+    }
+
+    fn wrote<T: Into<u64>>(&self, bytes: T) {
+        self.written.set(self.written.get() + bytes.into());
+    }
+}
+
+/// The half of a [`Wire`] that the HTTP side drives.
+struct WireIo(Rc<Wire>);
+
+impl AsyncRead for WireIo {
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        loop {
+            ready!(self.0.stream.poll_read_ready(cx))?;
+            match self.0.stream.try_read(buf.initialize_unfilled()) {
+                Ok(read) => {
+                    buf.advance(read);
+                    return Poll::Ready(Ok(()));
+                }
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                Err(e) => return Poll::Ready(Err(e)),
+            }
+        }
+    }
+}
+
+impl WireIo {
+    fn poll_with(
+        &self,
+        cx: &mut Context<'_>,
+        write: impl Fn(&TcpStream) -> io::Result<usize>,
+    ) -> Poll<io::Result<usize>> {
+        loop {
+            ready!(self.0.stream.poll_write_ready(cx))?;
+            match write(&self.0.stream) {
+                Ok(written) => {
+                    self.0.wrote(written as u64);
+                    return Poll::Ready(Ok(written));
+                }
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                Err(e) => return Poll::Ready(Err(e)),
+            }
+        }
+    }
+}
+
+impl AsyncWrite for WireIo {
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        self.poll_with(cx, |stream| stream.try_write(buf))
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        self.poll_with(cx, |stream| stream.try_write_vectored(bufs))
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(socket2::SockRef::from(&self.0.stream).shutdown(std::net::Shutdown::Write))
+    }
+}
+
+/// Counts an open socket until it is dropped.
+struct Counted(Rc<Cell<usize>>);
+
+impl Counted {
+    fn new(count: &Rc<Cell<usize>>) -> Self {
+        count.set(count.get() + 1);
+        Self(Rc::clone(count))
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+/// One connection to a backend. Dropping it closes it, whatever is out on it.
+struct Conn {
+    sender: SendRequest<Full<Bytes>>,
+    wire: Rc<Wire>,
+    task: JoinHandle<()>,
+    /// The life of the backend that it belongs to.
+    life: u64,
+    _counted: Counted,
+}
+
+impl Drop for Conn {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+struct Idle {
+    conn: Conn,
+    since: Instant,
+}
+
+/// A backend as the sockets know it.
+pub struct Server {
+    id: BackendId,
+    address: Cell<SocketAddr>,
+    started: Cell<Option<Micros>>,
+    ready: Cell<bool>,
+    /// Counts its restarts and moves: a connection of an earlier life is not used again.
+    life: Cell<u64>,
+    idle: RefCell<Vec<Idle>>,
+}
+
+/// All backends that discovery has named, and the connections to them.
+pub struct Fleet {
+    servers: RefCell<FxHashMap<BackendId, Rc<Server>>>,
+    sockets: Rc<Cell<usize>>,
+    most_sockets: usize,
+    dial_timeout: Duration,
+    idle_limit: Duration,
+    report_fields: Vec<String>,
+}
+
+impl Fleet {
+    /// An empty fleet. `conn_idle` is how long backends keep an idle connection, `report_fields` the fields of
+    /// a load report in the order that the module knows.
+    #[must_use]
+    pub fn new(
+        most_sockets: usize,
+        dial_timeout: Micros,
+        conn_idle: Micros,
+        report_fields: Vec<String>,
+    ) -> Rc<Self> {
+        let idle = Duration::from_micros(conn_idle);
+        Rc::new(Self {
+            servers: RefCell::default(),
+            sockets: Rc::default(),
+            most_sockets,
+            dial_timeout: Duration::from_micros(dial_timeout),
+            idle_limit: idle.saturating_sub(IDLE_MARGIN).max(idle / 2),
+            report_fields,
+        })
+    }
+
+    /// Takes what discovery says of one backend.
+    pub fn update(&self, id: BackendId, address: SocketAddr, readiness: Readiness, started: Option<Micros>) {
+        let mut servers = self.servers.borrow_mut();
+        let server = servers.entry(id).or_insert_with(|| {
+            Rc::new(Server {
+                id,
+                address: Cell::new(address),
+                started: Cell::new(started),
+                ready: Cell::new(false),
+                life: Cell::new(0),
+                idle: RefCell::default(),
+            })
+        });
+        server.ready.set(readiness == Readiness::Ready);
+        // The connections of the old process are dead, or will end as resets.
+        if server.started.replace(started) != started || server.address.replace(address) != address {
+            server.life.set(server.life.get() + 1);
+            server.idle.borrow_mut().clear();
+        }
+        if readiness == Readiness::Gone {
+            server.idle.borrow_mut().clear();
+        }
+    }
+
+    /// A complete list has come: what it does not name is gone.
+    pub fn retain(&self, listed: impl Fn(BackendId) -> bool) {
+        for server in self.servers.borrow().values().filter(|s| !listed(s.id)) {
+            server.ready.set(false);
+            server.idle.borrow_mut().clear();
+        }
+    }
+
+    /// Closes the idle connections to a backend.
+    pub fn close_idle(&self, id: BackendId) {
+        if let Some(server) = self.server(id) {
+            server.idle.borrow_mut().clear();
+        }
+    }
+
+    /// The backend of that number, if discovery has ever named it.
+    #[must_use]
+    pub fn server(&self, id: BackendId) -> Option<Rc<Server>> {
+        self.servers.borrow().get(&id).cloned()
+    }
+
+    /// Closes connections that have stood idle for too long, for as long as the proxy runs.
+    pub async fn sweep(self: Rc<Self>) {
+        loop {
+            sleep(SWEEP_EVERY).await;
+            for server in self.servers.borrow().values() {
+                server.idle.borrow_mut().retain(|idle| self.is_usable(idle));
+            }
+        }
+    }
+
+    fn is_usable(&self, idle: &Idle) -> bool {
+        !idle.conn.sender.is_closed() && idle.since.elapsed() < self.idle_limit
+    }
+
+    /// The connection that was used last: the others may then grow old and be closed.
+    fn take_idle(&self, server: &Server) -> Option<Conn> {
+        let mut all = server.idle.borrow_mut();
+        while let Some(idle) = all.pop() {
+            if self.is_usable(&idle) && idle.conn.sender.is_ready() && idle.conn.wire.is_quiet() {
+                return Some(idle.conn);
+            }
+        }
+        None
+    }
+
+    /// Makes room for one more socket; false where every socket is in use.
+    fn make_room(&self) -> bool {
+        if self.sockets.get() < self.most_sockets {
+            return true;
+        }
+        let servers = self.servers.borrow();
+        let oldest = servers.values().filter_map(|s| Some((s.idle.borrow().first()?.since, s)));
+        let Some((_, server)) = oldest.min_by_key(|(since, _)| *since) else { return false };
+        server.idle.borrow_mut().remove(0);
+        true
+    }
+
+    async fn dial(&self, server: &Server, until: Instant) -> Option<Conn> {
+        if !self.make_room() {
+            return None;
+        }
+        let counted = Counted::new(&self.sockets);
+        let life = server.life.get();
+        let until = until.min(Instant::now() + self.dial_timeout);
+        let stream = timeout_at(until, TcpStream::connect(server.address.get())).await.ok()?.ok()?;
+        stream.set_nodelay(true).ok()?;
+        let wire = Rc::new(Wire { stream, written: Cell::new(0) });
+        let io = TokioIo::new(WireIo(Rc::clone(&wire)));
+        let (sender, connection) = http1::handshake(io).await.ok()?;
+        let task = tokio::task::spawn_local(async move {
+            // How it ended shows in the exchange that was on it.
+            let _ = connection.await;
+        });
+        Some(Conn { sender, wire, task, life, _counted: counted })
+    }
+
+    /// Keeps a connection for the next attempt once it is free again.
+    fn keep(self: &Rc<Self>, server: &Rc<Server>, mut conn: Conn) {
+        let server = Rc::clone(server);
+        tokio::task::spawn_local(async move {
+            let free = timeout(SETTLE_TIMEOUT, conn.sender.ready()).await;
+            if matches!(free, Ok(Ok(()))) && server.life.get() == conn.life {
+                server.idle.borrow_mut().push(Idle { conn, since: Instant::now() });
+            }
+        });
+    }
+
+    /// One attempt of a request on a backend, given up at `give_up` or when `cancel` fires.
+    pub async fn attempt(
+        self: Rc<Self>,
+        server: Rc<Server>,
+        call: Rc<Call>,
+        give_up: Instant,
+        mut cancel: oneshot::Receiver<()>,
+    ) -> Ended {
+        let conn = match self.take_idle(&server) {
+            Some(conn) => Some(conn),
+            None => tokio::select! {
+                conn = self.dial(&server, give_up) => conn,
+                Ok(()) = &mut cancel => return Outcome::Moot.into(),
+            },
+        };
+        let Some(mut conn) = conn else { return Outcome::ConnectFailed.into() };
+        // Rule 3: while the connection came up, the backend may have begun to drain or have been replaced.
+        if !server.ready.get() || conn.life != server.life.get() {
+            return Outcome::Moot.into();
+        }
+        let left = give_up.saturating_duration_since(Instant::now());
+        if left < Duration::from_millis(1) {
+            self.keep(&server, conn);
+            return Outcome::Moot.into();
+        }
+        let request = request(&call, &server, left);
+        let whole = conn.wire.written.get() + least_size(&request, call.body.len());
+        let exchanged = tokio::select! {
+            biased;
+            exchanged = exchange(&mut conn.sender, request) => exchanged,
+            Ok(()) = &mut cancel => Err(Broken::Cancelled),
+            () = sleep_until(give_up) => Err(Broken::TimedOut),
+        };
+        // Rule 2: what the socket did not take whole can't run; of anything else nothing is certain. Reading
+        // the count and dropping the connection happen in one step, so nothing more is written in between.
+        let all_written = conn.wire.written.get() >= whole;
+        match exchanged {
+            Ok(reply) => {
+                self.keep(&server, conn);
+                self.ended(reply)
+            }
+            Err(Broken::TooLarge) => Outcome::Error.into(),
+            Err(Broken::Cancelled) if all_written => Outcome::Cancelled.into(),
+            Err(Broken::Cancelled) => Outcome::Moot.into(),
+            Err(Broken::TimedOut) if all_written => Outcome::Timeout.into(),
+            Err(Broken::Connection) if all_written => Outcome::Reset.into(),
+            Err(_) => Outcome::ConnectFailed.into(),
+        }
+    }
+
+    fn ended(&self, reply: Reply) -> Ended {
+        let outcome = match reply.status {
+            StatusCode::OK => Outcome::Ok,
+            StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT
+                if reply.headers.get(UNPROCESSED).is_some_and(|v| v == "1") =>
+            {
+                Outcome::Full
+            }
+            _ => Outcome::Error,
+        };
+        let report = reply.headers.get(LOAD).and_then(|v| v.to_str().ok()).map(|text| self.report(text));
+        let served = (outcome == Outcome::Ok)
+            .then(|| Served { body: reply.body, content_type: reply.headers.get(CONTENT_TYPE).cloned() });
+        Ended { outcome, served, report: report.unwrap_or_default() }
+    }
+
+    /// A load report (`name=value,...`) in the settings' order; what it leaves out is not a number.
+    fn report(&self, text: &str) -> Vec<f32> {
+        let value = |field: &String| {
+            let mut pairs = text.split(',').filter_map(|pair| pair.split_once('='));
+            let found = pairs.find(|(name, _)| name.trim() == field);
+            found.and_then(|(_, value)| value.trim().parse().ok()).unwrap_or(f32::NAN)
+        };
+        self.report_fields.iter().map(value).collect()
+    }
+
+    /// Asks a backend whether it lives; with `deep` for its load report as well.
+    pub async fn probe(self: Rc<Self>, server: Rc<Server>, deep: bool) -> Ended {
+        let until = Instant::now() + self.dial_timeout + PROBE_TIMEOUT;
+        let conn = match self.take_idle(&server) {
+            Some(conn) => Some(conn),
+            None => self.dial(&server, until).await,
+        };
+        let Some(mut conn) = conn else { return Outcome::ConnectFailed.into() };
+        let target = Uri::from_static(if deep { "/metrics/load" } else { "/alive" });
+        let call = Call { method: Method::GET, target, headers: HeaderMap::new(), body: Bytes::new() };
+        let request = request(&call, &server, PROBE_TIMEOUT);
+        match timeout_at(until, exchange(&mut conn.sender, request)).await {
+            Err(_) => Outcome::Timeout.into(),
+            Ok(Err(Broken::TooLarge)) => Outcome::Error.into(),
+            Ok(Err(_)) => Outcome::Reset.into(),
+            Ok(Ok(reply)) => {
+                self.keep(&server, conn);
+                let body = String::from_utf8_lossy(&reply.body).into_owned();
+                let mut ended = self.ended(reply);
+                ended.served = None;
+                if deep && ended.outcome == Outcome::Ok && ended.report.is_empty() && !body.is_empty() {
+                    ended.report = self.report(body.trim());
+                }
+                ended
+            }
+        }
+    }
+}
+
+struct Reply {
+    status: StatusCode,
+    headers: HeaderMap,
+    body: Bytes,
+}
+
+/// Why an exchange gave no answer.
+enum Broken {
+    Connection,
+    TooLarge,
+    TimedOut,
+    Cancelled,
+}
+
+/// Writes a request and reads the whole answer, so that a body that breaks off never becomes an answer.
+async fn exchange(
+    sender: &mut SendRequest<Full<Bytes>>,
+    request: Request<Full<Bytes>>,
+) -> Result<Reply, Broken> {
+    let response = sender.send_request(request).await.map_err(|_| Broken::Connection)?;
+    let (head, body) = response.into_parts();
+    let body = Limited::new(body, BODY_CAP).collect().await.map_err(|error| {
+        if error.is::<LengthLimitError>() { Broken::TooLarge } else { Broken::Connection }
+    })?;
+    Ok(Reply { status: head.status, headers: head.headers, body: body.to_bytes() })
+}
+
+fn request(call: &Call, server: &Server, left: Duration) -> Request<Full<Bytes>> {
+    let mut request = Request::new(Full::new(call.body.clone()));
+    *request.method_mut() = call.method.clone();
+    *request.uri_mut() = call.target.clone();
+    let headers = request.headers_mut();
+    headers.clone_from(&call.headers);
+    let millis = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
+    headers.insert(TIME_LEFT, HeaderValue::from(millis));
+    if call.method != Method::GET {
+        headers.insert(CONTENT_LENGTH, HeaderValue::from(call.body.len()));
+    }
+    if !headers.contains_key(HOST)
+        && let Ok(host) = HeaderValue::try_from(server.address.get().to_string())
+    {
+        headers.insert(HOST, host);
+    }
+    request
+}
+
+/// The bytes that a request takes on the wire at the least. Fewer written: the backend can't have begun it.
+fn least_size(request: &Request<Full<Bytes>>, body: usize) -> u64 {
+    let target = request.uri().path_and_query().map_or(1, |t| t.as_str().len());
+    let line = request.method().as_str().len() + " ".len() + target + " HTTP/1.1\r\n".len();
+    let fields =
+        request.headers().iter().map(|(name, value)| name.as_str().len() + value.len() + ": \r\n".len());
+    (line + fields.sum::<usize>() + "\r\n".len() + body) as u64
+}
--- /dev/null
+++ b/src/proxy/clients.rs
@@ -0,0 +1,389 @@
+//! The clients' side: the listener, requests in, answers out.
+
+use super::backends::Call;
+use super::clock::Clock;
+use super::config::Names;
+use super::driver::{Answer, Handle, Inbound, Message};
+use super::{BODY_CAP, log};
+use crate::api::{Effect, Micros, RequestId, Settings};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use rustc_hash::{FxHashMap, FxHasher};
+use std::cell::Cell;
+use std::convert::Infallible;
+use std::future::Future;
+use std::hash::Hasher;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Notify, oneshot, watch};
+use tokio::time::{Instant, sleep, timeout};
+
+/// How long a client may take to begin and finish a request's head; also how long it may stay idle.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(60);
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// How long a closing connection is read on, and how much of it, so that the kernel does not answer late
+/// bytes with a reset that destroys an answer on its way.
+const LINGER: Duration = Duration::from_millis(500);
+const LINGER_BYTES: usize = 4 * BODY_CAP;
+const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
+/// The largest head of a request.
+const HEAD_CAP: usize = 32 * 1024;
+/// A time left beyond this makes no sense.
+const MOST_TIME_LEFT_MS: u64 = 3_600_000;
+
+const CORRELATION_ID: HeaderName = HeaderName::from_static("x-correlation-id");
+const SERVICE_CLASS: HeaderName = HeaderName::from_static("x-service-class");
+const ACCOUNT: HeaderName = HeaderName::from_static("x-account");
+const TIME_LEFT: HeaderName = HeaderName::from_static("x-time-left-ms");
+const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
+const REPEAT: HeaderName = HeaderName::from_static("x-repeat");
+const WEIGHT_HINT: HeaderName = HeaderName::from_static("x-weight-hint");
+
+/// How far the proxy is on its way out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    /// It serves.
+    Running,
+    /// It serves, and each answer closes its connection.
+    Draining,
+    /// Idle connections close as well.
+    Closing,
+}
+
+struct Class {
+    deadline: Micros,
+    keyed: bool,
+    method: Method,
+}
+
+/// What all client connections share.
+pub struct Clients {
+    handle: Handle,
+    clock: Clock,
+    classes: FxHashMap<String, (u8, Class)>,
+    tenants: FxHashMap<String, u16>,
+    held: Rc<Cell<bool>>,
+    phase: watch::Receiver<Phase>,
+    most: usize,
+    open: Cell<usize>,
+    freed: Notify,
+    accepted_at: Cell<Instant>,
+}
+
+/// A request that is answered here because the module can't be asked about it.
+struct Rejected(StatusCode, &'static str);
+
+impl Clients {
+    /// No connections yet. `held` tells whether a list of backends is held, `most` how many connections may be
+    /// open at a time.
+    #[must_use]
+    pub fn new(
+        handle: Handle,
+        clock: Clock,
+        settings: &Settings,
+        names: &Names,
+        held: Rc<Cell<bool>>,
+        phase: watch::Receiver<Phase>,
+        most: usize,
+    ) -> Rc<Self> {
+        let class = |c: &crate::api::Class| Class {
+            deadline: c.deadline,
+            keyed: matches!(c.effect, Effect::Keyed { .. }),
+            method: if c.effect == Effect::Safe { Method::GET } else { Method::POST },
+        };
+        let classes = names.classes.iter().zip(0..=u8::MAX).zip(&settings.classes);
+        Rc::new(Self {
+            handle,
+            clock,
+            classes: classes.map(|((name, i), c)| (name.clone(), (i, class(c)))).collect(),
+            tenants: names.tenants.iter().cloned().zip(0..).collect(),
+            held,
+            phase,
+            most,
+            open: Cell::new(0),
+            freed: Notify::new(),
+            accepted_at: Cell::new(Instant::now()),
+        })
+    }
+
+    /// Open client connections.
+    #[must_use]
+    pub fn open(&self) -> usize {
+        self.open.get()
+    }
+
+    /// Time since a client last connected.
+    #[must_use]
+    pub fn quiet(&self) -> Duration {
+        self.accepted_at.get().elapsed()
+    }
+
+    /// Waits until a client connection has ended.
+    pub async fn one_ended(&self) {
+        self.freed.notified().await;
+    }
+
+    /// Accepts connections for as long as the proxy runs.
+    pub async fn accept(self: Rc<Self>, listener: TcpListener) {
+        loop {
+            // Beyond the cap clients wait in the kernel's queue instead of taking the backends' descriptors.
+            while self.open.get() >= self.most {
+                self.freed.notified().await;
+            }
+            match listener.accept().await {
+                Ok((stream, _)) => {
+                    self.accepted_at.set(Instant::now());
+                    self.open.set(self.open.get() + 1);
+                    tokio::task::spawn_local(Rc::clone(&self).connection(stream));
+                }
+                // Out of descriptors, or a client that is gone already: neither ends the proxy.
+                Err(error) => {
+                    log(format_args!("accept: {error}"));
+                    sleep(ACCEPT_BACKOFF).await;
+                }
+            }
+        }
+    }
+
+    async fn connection(self: Rc<Self>, stream: TcpStream) {
+        let _ = stream.set_nodelay(true);
+        let clients = Rc::clone(&self);
+        let service = service_fn(move |request| -> Pin<Box<dyn Future<Output = _>>> {
+            let clients = Rc::clone(&clients);
+            Box::pin(async move { Ok::<_, Infallible>(clients.respond(request).await) })
+        });
+        let mut conn = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(HEAD_TIMEOUT)
+            .max_buf_size(HEAD_CAP)
+            .serve_connection(TokioIo::new(stream), service);
+        let mut phase = self.phase.clone();
+        // A connection that comes while the others are being closed still gets its answer; that closes it.
+        let mut told = *phase.borrow_and_update() == Phase::Closing;
+        loop {
+            tokio::select! {
+                biased;
+                // How it ended does not matter here: a client that left has been reported by its guard.
+                _ = std::future::poll_fn(|cx| conn.poll_without_shutdown(cx)) => break,
+                Ok(()) = phase.changed(), if !told => {
+                    if *phase.borrow_and_update() == Phase::Closing {
+                        told = true;
+                        Pin::new(&mut conn).graceful_shutdown();
+                    }
+                }
+            }
+        }
+        linger(conn.into_parts().io.into_inner()).await;
+        self.open.set(self.open.get() - 1);
+        self.freed.notify_waiters();
+    }
+
+    async fn respond(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+        let arrived = self.clock.now();
+        let mut response = if request.uri().path() == "/up" {
+            self.up()
+        } else {
+            match self.inbound(request, arrived).await {
+                Ok(inbound) => self.ask(inbound).await,
+                Err(Rejected(status, why)) => {
+                    let mut response = plain(status, why);
+                    if status == StatusCode::PAYLOAD_TOO_LARGE || status == StatusCode::REQUEST_TIMEOUT {
+                        close(&mut response);
+                    }
+                    response
+                }
+            }
+        };
+        // Close to the cap, connections are given back after each answer.
+        if *self.phase.borrow() != Phase::Running || self.open.get() * 8 >= self.most * 7 {
+            close(&mut response);
+        }
+        response
+    }
+
+    fn up(&self) -> Response<Full<Bytes>> {
+        if self.held.get() && *self.phase.borrow() == Phase::Running {
+            plain(StatusCode::OK, "up\n")
+        } else {
+            plain(StatusCode::SERVICE_UNAVAILABLE, "not serving\n")
+        }
+    }
+
+    async fn ask(&self, inbound: Inbound) -> Response<Full<Bytes>> {
+        let (sender, answer) = oneshot::channel();
+        let guard = Guard { handle: &self.handle, request: inbound.request.id, answered: false };
+        self.handle.tell(Message::Request(Box::new(inbound), sender));
+        let answer = answer.await;
+        guard.answered();
+        match answer {
+            Ok(Answer::Served(served)) => {
+                let mut response = Response::new(Full::new(served.body));
+                if let Some(content_type) = served.content_type {
+                    response.headers_mut().insert(header::CONTENT_TYPE, content_type);
+                }
+                response
+            }
+            Ok(Answer::Refused { retry_after }) => refusal(retry_after),
+            Ok(Answer::Failed) | Err(_) => plain(StatusCode::BAD_GATEWAY, "failed\n"),
+        }
+    }
+
+    async fn inbound(&self, request: Request<Incoming>, arrived: Micros) -> Result<Inbound, Rejected> {
+        let (head, body) = request.into_parts();
+        let bad = |why| Rejected(StatusCode::BAD_REQUEST, why);
+        let text = |name| head.headers.get(name).and_then(|v: &HeaderValue| v.to_str().ok());
+        let in_path = head.uri.path().split('/').nth(1).unwrap_or_default();
+        let (class, facts) = self.classes.get(in_path).ok_or(bad("unknown class\n"))?;
+        if head.headers.contains_key(SERVICE_CLASS) && text(SERVICE_CLASS) != Some(in_path) {
+            return Err(bad("the class of the header is not that of the path\n"));
+        }
+        if head.method != facts.method {
+            return Err(Rejected(StatusCode::METHOD_NOT_ALLOWED, "not the method of this class\n"));
+        }
+        // Without its key a repeat would not be dropped.
+        if facts.keyed && text(IDEMPOTENCY_KEY).is_none_or(str::is_empty) {
+            return Err(bad("Idempotency-Key is missing\n"));
+        }
+        if text(CORRELATION_ID).is_none_or(str::is_empty) {
+            return Err(bad("X-Correlation-Id is missing\n"));
+        }
+        let tenant = match text(ACCOUNT) {
+            _ if self.tenants.is_empty() => 0,
+            account => *account.and_then(|a| self.tenants.get(a)).ok_or(bad("unknown account\n"))?,
+        };
+        let time_left = text(TIME_LEFT).and_then(|v| v.trim().parse::<u64>().ok());
+        let time_left = time_left.filter(|&ms| ms <= MOST_TIME_LEFT_MS);
+        let patience = time_left.ok_or(bad("X-Time-Left-Ms is missing or makes no sense\n"))? * 1_000;
+        let request = crate::api::Request {
+            id: self.handle.number(),
+            class: *class,
+            tenant,
+            key: head.uri.query().and_then(key),
+            patience: patience.min(facts.deadline),
+            work: text(WEIGHT_HINT).and_then(|v| v.trim().parse().ok()),
+            repeat: text(REPEAT) == Some("1"),
+        };
+        let body = collect(body).await?;
+        let call = Call { method: head.method, target: head.uri, headers: forwarded(head.headers), body };
+        Ok(Inbound { request, arrived, call })
+    }
+}
+
+/// Tells the driver when a client leaves while its request is open: its connection then drops the answer's
+/// future.
+struct Guard<'a> {
+    handle: &'a Handle,
+    request: RequestId,
+    answered: bool,
+}
+
+impl Guard<'_> {
+    fn answered(mut self) {
+        self.answered = true;
+    }
+}
+
+impl Drop for Guard<'_> {
+    fn drop(&mut self) {
+        if !self.answered {
+            self.handle.tell(Message::ClientGone(self.request));
+        }
+    }
+}
+
+async fn collect(body: Incoming) -> Result<Bytes, Rejected> {
+    let collected = timeout(BODY_TIMEOUT, Limited::new(body, BODY_CAP).collect()).await;
+    let collected = collected.map_err(|_| Rejected(StatusCode::REQUEST_TIMEOUT, "the body is late\n"))?;
+    let collected = collected.map_err(|error| {
+        if error.is::<LengthLimitError>() {
+            Rejected(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large\n")
+        } else {
+            Rejected(StatusCode::BAD_REQUEST, "the body is broken\n")
+        }
+    })?;
+    Ok(collected.to_bytes())
+}
+
+/// The headers that go on: all but those that speak of this one connection or of the message's framing.
+fn forwarded(mut headers: HeaderMap) -> HeaderMap {
+    let named = headers.get_all(header::CONNECTION).iter().filter_map(|v| v.to_str().ok());
+    let named: Vec<HeaderName> =
+        named.flat_map(|v| v.split(',')).filter_map(|name| name.trim().parse().ok()).collect();
+    for name in named.iter().filter(|name| **name != CORRELATION_ID && **name != IDEMPOTENCY_KEY) {
+        headers.remove(name);
+    }
+    let hop = [
+        header::CONNECTION,
+        header::CONTENT_LENGTH,
+        header::EXPECT,
+        header::PROXY_AUTHORIZATION,
+        header::TE,
+        header::TRAILER,
+        header::TRANSFER_ENCODING,
+        header::UPGRADE,
+        HeaderName::from_static("keep-alive"),
+        HeaderName::from_static("proxy-connection"),
+    ];
+    for name in hop {
+        headers.remove(name);
+    }
+    headers
+}
+
+/// What a request is about, as a number.
+fn key(query: &str) -> Option<u64> {
+    let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    let (_, value) = pairs.find(|(name, _)| *name == "key")?;
+    u64::from_str_radix(value, 16).ok().or_else(|| {
+        let mut hasher = FxHasher::default();
+        hasher.write(value.as_bytes());
+        Some(hasher.finish())
+    })
+}
+
+fn plain(status: StatusCode, text: &'static str) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::from_static(text.as_bytes())));
+    *response.status_mut() = status;
+    response.headers_mut().insert(header::CONTENT_TYPE, HeaderValue::from_static("text/plain"));
+    response
+}
+
+fn refusal(retry_after: Micros) -> Response<Full<Bytes>> {
+    let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, "no room\n");
+    if retry_after > 0
+        && let Ok(seconds) = HeaderValue::try_from(format!("{:.3}", retry_after as f64 / 1e6))
+    {
+        response.headers_mut().insert(header::RETRY_AFTER, seconds);
+    }
+    response
+}
+
+fn close(response: &mut Response<Full<Bytes>>) {
+    response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+}
+
+/// Ends the sending side and reads what still comes, for a while.
+async fn linger(mut stream: TcpStream) {
+    if stream.shutdown().await.is_err() {
+        return;
+    }
+    let _ = timeout(LINGER, async {
+        let (mut buffer, mut read) = ([0; 2_048], 0);
+        while read < LINGER_BYTES {
+            match stream.read(&mut buffer).await {
+                Ok(0) | Err(_) => return,
+                Ok(n) => read += n,
+            }
+        }
+    })
+    .await;
+}
--- /dev/null
+++ b/src/proxy/clock.rs
@@ -0,0 +1,46 @@
+//! One clock for all events: monotonic, in microseconds, counting from the Unix epoch.
+
+use crate::api::Micros;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::time::Instant;
+
+/// Starts at the Unix time of its making and then follows the monotonic clock. The module's times count from
+/// the epoch, so that starts of backends from before this process can be told, and a step of the system's
+/// clock moves nothing.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    origin: Instant,
+    unix: Micros,
+}
+
+impl Clock {
+    /// A clock that shows the system's time now.
+    #[must_use]
+    pub fn start() -> Self {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Self { origin: Instant::now(), unix: micros(unix) }
+    }
+
+    /// The time now.
+    #[must_use]
+    pub fn now(&self) -> Micros {
+        self.unix + micros(self.origin.elapsed())
+    }
+
+    /// A point of this clock as the runtime's timers want it.
+    #[must_use]
+    pub fn instant(&self, at: Micros) -> Instant {
+        self.origin + Duration::from_micros(at.saturating_sub(self.unix))
+    }
+
+    /// When a backend started, from Unix milliseconds; 0 is long ago. A start in the future (another machine's
+    /// clock is ahead) is taken as now.
+    #[must_use]
+    pub fn started(&self, unix_ms: u64) -> Option<Micros> {
+        (unix_ms != 0).then(|| unix_ms.saturating_mul(1_000).min(self.now()))
+    }
+}
+
+fn micros(span: Duration) -> Micros {
+    u64::try_from(span.as_micros()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/src/proxy/config.rs
@@ -0,0 +1,197 @@
+//! What the proxy is told at its start: the file that `EDGE_CONFIG` names, and the environment.
+
+use crate::api::{Micros, Settings, SettingsError};
+use crate::wire::parse_settings;
+use serde::Deserialize;
+use serde_json::Value;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::{env, fmt, fs, io};
+
+/// Descriptors that are neither clients nor backends: standard streams, the runtime, the listener, discovery.
+const RESERVED_SOCKETS: usize = 24;
+const DEFAULT_SOCKETS: usize = 1_024;
+const DEFAULT_DIAL: Micros = 250_000;
+
+/// Why the proxy can't start.
+#[derive(Debug)]
+pub enum ConfigError {
+    /// A variable of the environment is missing.
+    Missing(&'static str),
+    /// The file can't be read.
+    Unreadable(PathBuf, io::Error),
+    /// The file is not the JSON that is wanted.
+    Malformed(serde_json::Error),
+    /// An address is missing or is none.
+    Address(&'static str, String),
+    /// A setting makes no sense.
+    Settings(SettingsError),
+}
+
+impl fmt::Display for ConfigError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Missing(name) => write!(f, "{name} is not set"),
+            Self::Unreadable(path, error) => write!(f, "cannot read {}: {error}", path.display()),
+            Self::Malformed(error) => write!(f, "malformed configuration: {error}"),
+            Self::Address(field, given) => write!(f, "`{field}` is no address: `{given}`"),
+            Self::Settings(error) => write!(f, "{error}"),
+        }
+    }
+}
+
+impl std::error::Error for ConfigError {}
+
+/// The names that the protocol uses and the module knows by their position.
+#[derive(Clone, Debug, Default)]
+pub struct Names {
+    /// Request classes.
+    pub classes: Vec<String>,
+    /// Tenants; may be empty.
+    pub tenants: Vec<String>,
+    /// Zones.
+    pub zones: Vec<String>,
+    /// Kinds of machines.
+    pub kinds: Vec<String>,
+    /// Fields of a load report.
+    pub report: Vec<String>,
+}
+
+/// The configuration, checked.
+#[derive(Debug)]
+pub struct Config {
+    /// The proxy's name.
+    pub name: String,
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// Where discovery listens.
+    pub discovery: SocketAddr,
+    /// For random numbers.
+    pub seed: u64,
+    /// The list of backends as last known, in discovery's form.
+    pub known: Value,
+    /// The module's settings.
+    pub settings: Settings,
+    /// What the settings name.
+    pub names: Names,
+    /// A connection that is not up after this time has failed.
+    pub dial_timeout: Micros,
+    /// Client connections that may be open at a time.
+    pub client_sockets: usize,
+    /// Backend connections that may be open at a time, idle ones too.
+    pub backend_sockets: usize,
+}
+
+#[derive(Deserialize)]
+struct RawConfig {
+    #[serde(default)]
+    name: Option<String>,
+    #[serde(default)]
+    listen: Option<String>,
+    #[serde(default)]
+    discovery: Option<String>,
+    #[serde(default)]
+    seed: Value,
+    #[serde(default)]
+    limits: RawLimits,
+    #[serde(default)]
+    known: Value,
+    settings: Value,
+}
+
+#[derive(Deserialize, Default)]
+struct RawLimits {
+    #[serde(default)]
+    sockets: Option<usize>,
+}
+
+#[derive(Deserialize)]
+struct Named {
+    #[serde(default)]
+    name: String,
+}
+
+/// The part of the settings that only the sockets need.
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct RawNames {
+    #[serde(default)]
+    classes: Vec<Named>,
+    #[serde(default)]
+    tenants: Vec<Named>,
+    #[serde(default)]
+    failure_domains: Vec<String>,
+    #[serde(default)]
+    kinds: Vec<String>,
+    #[serde(default)]
+    load_report: RawReport,
+    #[serde(default)]
+    permissions: RawPermissions,
+}
+
+#[derive(Deserialize, Default)]
+struct RawReport {
+    #[serde(default)]
+    fields: Vec<String>,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "camelCase")]
+struct RawPermissions {
+    #[serde(default)]
+    dial_timeout_us: Option<Micros>,
+}
+
+impl Config {
+    /// Reads the file that the environment names.
+    ///
+    /// # Errors
+    /// Says in one line what is missing or wrong.
+    pub fn from_env() -> Result<Self, ConfigError> {
+        let path = PathBuf::from(env::var_os("EDGE_CONFIG").ok_or(ConfigError::Missing("EDGE_CONFIG"))?);
+        let text = fs::read(&path).map_err(|e| ConfigError::Unreadable(path, e))?;
+        Self::parse(&text, |name| env::var(name).ok())
+    }
+
+    /// Reads the configuration from JSON text; `variable` fills in what the text leaves out.
+    ///
+    /// # Errors
+    /// Says what is missing or wrong.
+    pub fn parse(text: &[u8], variable: impl Fn(&str) -> Option<String>) -> Result<Self, ConfigError> {
+        let raw: RawConfig = serde_json::from_slice(text).map_err(ConfigError::Malformed)?;
+        let address = |field: &'static str, given: Option<String>, name: &str| {
+            let given = given.or_else(|| variable(name)).unwrap_or_default();
+            given.parse().map_err(|_| ConfigError::Address(field, given))
+        };
+        let settings = serde_json::to_vec(&raw.settings).map_err(ConfigError::Malformed)?;
+        let more: RawNames = serde_json::from_value(raw.settings).map_err(ConfigError::Malformed)?;
+        let named = |list: Vec<Named>| list.into_iter().map(|n| n.name).collect();
+        let sockets = raw.limits.sockets.unwrap_or(DEFAULT_SOCKETS).max(2 * RESERVED_SOCKETS);
+        let free = sockets - RESERVED_SOCKETS;
+        Ok(Self {
+            name: raw.name.or_else(|| variable("EDGE_NAME")).unwrap_or_default(),
+            listen: address("listen", raw.listen, "EDGE_LISTEN")?,
+            discovery: address("discovery", raw.discovery, "EDGE_DISCOVERY")?,
+            seed: seed(&raw.seed),
+            known: raw.known,
+            settings: parse_settings(&settings).map_err(ConfigError::Settings)?,
+            names: Names {
+                classes: named(more.classes),
+                tenants: named(more.tenants),
+                zones: more.failure_domains,
+                kinds: more.kinds,
+                report: more.load_report.fields,
+            },
+            dial_timeout: more.permissions.dial_timeout_us.filter(|&t| t > 0).unwrap_or(DEFAULT_DIAL),
+            // A client's connection may carry a request that waits for a backend's, so it gets the larger part.
+            client_sockets: free * 3 / 5,
+            backend_sockets: free - free * 3 / 5,
+        })
+    }
+}
+
+/// The seed comes as hexadecimal text; a number is taken as well.
+fn seed(value: &Value) -> u64 {
+    let text = value.as_str().and_then(|s| u64::from_str_radix(s, 16).ok());
+    text.or_else(|| value.as_u64()).unwrap_or_else(|| fastrand::Rng::new().u64(..))
+}
--- /dev/null
+++ b/src/proxy/discovery.rs
@@ -0,0 +1,364 @@
+//! Discovery: the whole list, then a watch for changes; names to numbers.
+
+use super::clock::Clock;
+use super::config::Names;
+use super::driver::{Handle, Message, Scope};
+use super::log;
+use crate::api::{Backend, BackendId, Readiness};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Empty, Limited};
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::header::{HOST, HeaderValue};
+use hyper::{Request, StatusCode, Uri};
+use hyper_util::rt::TokioIo;
+use rustc_hash::{FxHashMap, FxHashSet};
+use serde::Deserialize;
+use serde_json::Value;
+use std::cell::Cell;
+use std::fmt;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
+use tokio::time::{sleep, timeout};
+
+/// How long a watch may wait. An agent on this machine costs nothing to ask: a short wait bounds how long a
+/// broken call goes unnoticed.
+const PUSHED_WAIT: Duration = Duration::from_secs(3);
+/// A service that all proxies share is asked more seldom.
+const ASKED_WAIT: Duration = Duration::from_secs(20);
+/// How long a call may take beyond its wait.
+const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
+const FIRST_BACKOFF: Duration = Duration::from_millis(50);
+const MOST_DOUBLINGS: u32 = 4;
+/// The largest list; thousands of entries fit in.
+const LIST_CAP: usize = 4 << 20;
+
+/// A backend as the list has it, in the module's numbers, and where it listens.
+#[derive(Clone, Copy, Debug)]
+pub struct Listed {
+    /// What the module is told.
+    pub backend: Backend,
+    /// Where it listens.
+    pub address: SocketAddr,
+}
+
+/// Why a call to discovery brought nothing.
+#[derive(Debug)]
+pub enum DiscoveryError {
+    /// No connection, or it broke.
+    Connection,
+    /// Nothing came in time.
+    Timeout,
+    /// An answer other than 200.
+    Status(StatusCode),
+    /// Not the JSON that is wanted.
+    Malformed(serde_json::Error),
+}
+
+impl fmt::Display for DiscoveryError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Connection => write!(f, "the connection failed"),
+            Self::Timeout => write!(f, "no answer in time"),
+            Self::Status(status) => write!(f, "answered {status}"),
+            Self::Malformed(error) => write!(f, "malformed list: {error}"),
+        }
+    }
+}
+
+impl std::error::Error for DiscoveryError {}
+
+#[derive(Deserialize)]
+struct RawList {
+    revision: u64,
+    #[serde(default)]
+    complete: bool,
+    #[serde(default)]
+    members: Vec<Value>,
+}
+
+#[derive(Deserialize)]
+struct RawMember {
+    id: String,
+    host_port: String,
+    locality: String,
+    #[serde(default)]
+    flavor: String,
+    #[serde(default)]
+    cell: u16,
+    phase: String,
+    #[serde(default)]
+    up_since_ms: u64,
+}
+
+/// A list in the module's terms.
+#[derive(Debug)]
+pub struct List {
+    /// Its version.
+    pub revision: u64,
+    /// Whether it names all backends.
+    pub complete: bool,
+    /// The entries that make sense.
+    pub entries: Vec<Listed>,
+}
+
+/// Translates discovery's names.
+pub struct Translator {
+    clock: Clock,
+    zones: FxHashMap<String, u16>,
+    kinds: FxHashMap<String, u8>,
+    numbers: FxHashMap<String, BackendId>,
+    taken: FxHashSet<BackendId>,
+    starts: FxHashMap<BackendId, (u64, Option<u64>)>,
+}
+
+impl Translator {
+    /// A translator that knows no backends yet.
+    #[must_use]
+    pub fn new(clock: Clock, names: &Names) -> Self {
+        let zones = names.zones.iter().cloned().zip(0..).collect();
+        let kinds = names.kinds.iter().cloned().zip(0..=u8::MAX).collect();
+        Self {
+            clock,
+            zones,
+            kinds,
+            numbers: FxHashMap::default(),
+            taken: FxHashSet::default(),
+            starts: FxHashMap::default(),
+        }
+    }
+
+    /// Reads a list. Entries that make no sense are logged and passed over.
+    ///
+    /// # Errors
+    /// Where the list as a whole is not what is wanted.
+    pub fn list(&mut self, json: Value) -> Result<List, DiscoveryError> {
+        let raw: RawList = serde_json::from_value(json).map_err(DiscoveryError::Malformed)?;
+        let entries = raw.members.into_iter().filter_map(|member| match self.member(member) {
+            Ok(listed) => Some(listed),
+            Err(problem) => {
+                log(format_args!("passing over an entry of the list: {problem}"));
+                None
+            }
+        });
+        Ok(List { revision: raw.revision, complete: raw.complete, entries: entries.collect() })
+    }
+
+    fn member(&mut self, member: Value) -> Result<Listed, String> {
+        let raw: RawMember = serde_json::from_value(member).map_err(|e| e.to_string())?;
+        let address = raw.host_port.parse();
+        let address = address.map_err(|_| format!("`{}` is no address", raw.host_port))?;
+        let readiness = match raw.phase.as_str() {
+            "active" => Readiness::Ready,
+            "leaving" => Readiness::Draining,
+            "left" => Readiness::Gone,
+            other => return Err(format!("unknown phase `{other}`")),
+        };
+        let zone = self.zones.get(&raw.locality).copied();
+        let zone = zone.ok_or_else(|| format!("unknown locality `{}`", raw.locality))?;
+        // A kind that the settings don't name can still be sent to.
+        let kind = self.kinds.get(&raw.flavor).copied().unwrap_or(0);
+        let id = self.number(&raw.id);
+        let started = self.started(id, raw.up_since_ms);
+        let backend = Backend { id, zone, kind, cell: raw.cell, readiness, started };
+        Ok(Listed { backend, address })
+    }
+
+    /// A backend's number, the same at every proxy: the hash of its name. Two names that share a hash (one in
+    /// millions) are told apart by order, which costs nothing but that sameness.
+    fn number(&mut self, name: &str) -> BackendId {
+        if let Some(&number) = self.numbers.get(name) {
+            return number;
+        }
+        let mut number = fnv(name.as_bytes());
+        while !self.taken.insert(number) {
+            number = number.wrapping_add(1);
+        }
+        self.numbers.insert(name.to_owned(), number);
+        number
+    }
+
+    /// When it started on this proxy's clock. The same start keeps the time first worked out: a start ahead of
+    /// the clock, which counts as now, must not look like a new one on each list.
+    fn started(&mut self, id: BackendId, unix_ms: u64) -> Option<u64> {
+        if let Some(&(told, started)) = self.starts.get(&id)
+            && told == unix_ms
+        {
+            return started;
+        }
+        let started = self.clock.started(unix_ms);
+        self.starts.insert(id, (unix_ms, started));
+        started
+    }
+}
+
+/// FNV-1a, 32 bits: stable from one build and machine to the next.
+fn fnv(bytes: &[u8]) -> u32 {
+    bytes.iter().fold(0x811c_9dc5, |hash, &byte| (hash ^ u32::from(byte)).wrapping_mul(0x0100_0193))
+}
+
+struct Conn {
+    sender: SendRequest<Empty<Bytes>>,
+    task: JoinHandle<()>,
+}
+
+impl Drop for Conn {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// Follows discovery.
+pub struct Watcher {
+    address: SocketAddr,
+    host: Option<HeaderValue>,
+    translator: Translator,
+    handle: Handle,
+    /// Set once a list is held.
+    held: Rc<Cell<bool>>,
+    /// The module's calls for changes, where discovery has to be asked.
+    asked: Option<mpsc::UnboundedReceiver<()>>,
+    conn: Option<Conn>,
+    revision: Option<u64>,
+    /// The list of the configuration can be served from.
+    fallback: bool,
+}
+
+impl Watcher {
+    /// A watcher that has made no call. With `asked` it begins a watch only when told to, otherwise by itself.
+    #[must_use]
+    pub fn new(
+        address: SocketAddr,
+        translator: Translator,
+        handle: Handle,
+        held: Rc<Cell<bool>>,
+        asked: Option<mpsc::UnboundedReceiver<()>>,
+    ) -> Self {
+        let host = HeaderValue::try_from(address.to_string()).ok();
+        Self { address, host, translator, handle, held, asked, conn: None, revision: None, fallback: false }
+    }
+
+    /// Hands on the list that the configuration holds. It may be old: the next call asks for the whole list.
+    pub fn start_from(&mut self, known: Value) {
+        if known.is_null() {
+            return self.handle.tell(Message::Listed(Scope::Cached, Vec::new()));
+        }
+        match self.translator.list(known) {
+            Ok(list) => {
+                self.fallback = list.entries.iter().any(|e| e.backend.readiness == Readiness::Ready);
+                self.handle.tell(Message::Listed(Scope::Cached, list.entries));
+            }
+            Err(error) => log(format_args!("`known`: {error}")),
+        }
+    }
+
+    /// Follows discovery for as long as the proxy runs.
+    pub async fn run(mut self) {
+        let mut failures = 0_u32;
+        loop {
+            if self.revision.is_none() || failures > 0 {
+                self.wait_for_call().await;
+            }
+            match self.call().await {
+                Ok(list) => {
+                    failures = 0;
+                    self.pass_on(list);
+                }
+                Err(error) => {
+                    if failures == 0 {
+                        log(format_args!("discovery: {error}"));
+                    }
+                    failures = failures.saturating_add(1);
+                    self.conn = None;
+                    self.after_failure(failures).await;
+                }
+            }
+        }
+    }
+
+    async fn wait_for_call(&mut self) {
+        if let Some(asked) = &mut self.asked {
+            // The driver ends only with the process.
+            if asked.recv().await.is_none() {
+                std::future::pending::<()>().await;
+            }
+            while asked.try_recv().is_ok() {}
+        }
+    }
+
+    fn pass_on(&mut self, list: List) {
+        self.revision = Some(list.revision);
+        self.held.set(true);
+        if list.complete {
+            self.handle.tell(Message::Listed(Scope::Full, list.entries));
+        } else if !list.entries.is_empty() {
+            self.handle.tell(Message::Listed(Scope::Delta, list.entries));
+        }
+    }
+
+    /// The module decides when a service is asked again; an agent is asked again a little later each time.
+    async fn after_failure(&mut self, failures: u32) {
+        // Without discovery an old list is better than none.
+        if self.fallback {
+            self.held.set(true);
+        }
+        if self.asked.is_some() {
+            return self.handle.tell(Message::Listed(Scope::Failed, Vec::new()));
+        }
+        sleep(FIRST_BACKOFF * (1 << failures.min(MOST_DOUBLINGS))).await;
+    }
+
+    async fn call(&mut self) -> Result<List, DiscoveryError> {
+        let wait = if self.asked.is_some() { ASKED_WAIT } else { PUSHED_WAIT };
+        let (target, limit) = match self.revision {
+            None => ("/discovery/hosts".to_owned(), CALL_TIMEOUT),
+            Some(after) => {
+                let wait_ms = wait.as_millis();
+                (format!("/discovery/hosts?after={after}&wait_ms={wait_ms}"), wait + CALL_TIMEOUT)
+            }
+        };
+        let body = timeout(limit, self.fetch(&target)).await.map_err(|_| DiscoveryError::Timeout)??;
+        self.translator.list(serde_json::from_slice(&body).map_err(DiscoveryError::Malformed)?)
+    }
+
+    async fn fetch(&mut self, target: &str) -> Result<Bytes, DiscoveryError> {
+        let mut kept = self.conn.take();
+        if let Some(conn) = &mut kept
+            && conn.sender.ready().await.is_err()
+        {
+            kept = None;
+        }
+        let mut conn = match kept {
+            Some(conn) => conn,
+            None => dial(self.address).await.ok_or(DiscoveryError::Connection)?,
+        };
+        let mut request = Request::new(Empty::new());
+        *request.uri_mut() = target.parse::<Uri>().unwrap_or_default();
+        if let Some(host) = &self.host {
+            request.headers_mut().insert(HOST, host.clone());
+        }
+        let sent = conn.sender.send_request(request).await;
+        let response = sent.map_err(|_| DiscoveryError::Connection)?;
+        let status = response.status();
+        let body = Limited::new(response.into_body(), LIST_CAP).collect().await;
+        let body = body.map_err(|_| DiscoveryError::Connection)?.to_bytes();
+        if status != StatusCode::OK {
+            return Err(DiscoveryError::Status(status));
+        }
+        self.conn = Some(conn);
+        Ok(body)
+    }
+}
+
+async fn dial(address: SocketAddr) -> Option<Conn> {
+    let stream = TcpStream::connect(address).await.ok()?;
+    stream.set_nodelay(true).ok()?;
+    let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+    let task = tokio::task::spawn_local(async move {
+        let _ = connection.await;
+    });
+    Some(Conn { sender, task })
+}
