--- a/src/proxy/backends.rs
+++ b/src/proxy/backends.rs
@@ -1,7 +1,7 @@
 //! Attempts on backends: connections, their pool, probes, and what came of each.
 //!
 //! A request is written to a connection once and never again by this side: whether it may be repeated is the
-//! module's to say, and it can only say so if it knows whether the last byte went out ([`Wire`] counts).
+//! module's to say, and it can only say so if it knows whether the last byte went out (`Wire` counts).
 
 use super::BODY_CAP;
 use crate::api::{BackendId, Micros, Outcome, Readiness};
