Test the proxy's program over loopback sockets

Seventeen tests start the built program with stand-ins for backends, discovery and clients: unchanged requests and answers, refusals, broken answers, turned-away marks, drains, restarts, closed connections, a client that leaves, odd lists, SIGTERM, bad input and configuration. They wait for events and bind port 0; the start-up line that names the bound address serves them and the operators.

--- a/src/bin/haventrack-proxy.rs
+++ b/src/bin/haventrack-proxy.rs
@@ -53,6 +53,7 @@
         config.names.report.clone(),
     );
     let listener = listen(config.listen).map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
+    log(format_args!("{} listens on {}", config.name, listener.local_addr()?));
     let balancer = Balancer::new(settings.clone(), config.seed, clock.now())?;
     let (subscribe, subscriptions) = mpsc::unbounded_channel();
     let (driver, handle) = Driver::new(balancer, clock, Rc::clone(&fleet), limits, subscribe);
--- /dev/null
+++ b/tests/proxy/main.rs
@@ -0,0 +1,319 @@
+//! The proxy's program over loopback sockets: what must hold whatever backends and clients do.
+
+mod rig;
+
+use rig::*;
+use std::io::Read;
+use std::sync::mpsc::{Sender, channel};
+
+/// What the module lets out to a lone backend at the start.
+const ROOM: usize = 2;
+
+const UP: &str = "GET /up HTTP/1.1\r\nHost: x\r\n\r\n";
+
+/// Clients whose requests take all the room that the module gives a lone backend at its start, the backend, and
+/// the words that let it answer them. Further requests are answered at once.
+fn full_backend() -> (Backend, Vec<Sender<()>>) {
+    let (mut words, mut releases) = (Vec::new(), Vec::new());
+    for _ in 0..ROOM {
+        let (release, word) = channel();
+        words.push(word);
+        releases.push(release);
+    }
+    let backend = Backend::start(move |_| match words.pop() {
+        Some(word) => Reply::After(word, Box::new(ok("first"))),
+        None => ok("later"),
+    });
+    (backend, releases)
+}
+
+fn fill(proxy: &Proxy, backend: &Backend) -> Vec<Client> {
+    let fill = (0..ROOM).map(|i| {
+        let mut client = proxy.client();
+        client.send(&request("charge", &format!("fill-{i}"), "x"));
+        backend.next();
+        client
+    });
+    fill.collect()
+}
+
+#[test]
+fn requests_and_answers_pass_unchanged() {
+    let discovery = Discovery::start();
+    let backend = Backend::start(|_| Reply::Write(answer("200 OK", "", b"\x00\xffbody\r\n\r\n")));
+    let proxy = Proxy::start("unchanged", &discovery, &[entry("s-1", backend.address, "active", 0)]);
+    let got = proxy.client().ask(&request("submit", "5c0f", "some body"));
+    assert_eq!((got.status(), got.body.as_slice()), (200, b"\x00\xffbody\r\n\r\n".as_slice()));
+    let seen = backend.next();
+    assert_eq!(seen.first_line(), "POST /submit?key=7f3a HTTP/1.1");
+    assert_eq!(seen.header("x-correlation-id"), Some("5c0f"));
+    assert_eq!(seen.header("idempotency-key"), Some("5c0f"));
+    assert_eq!(seen.body, b"some body");
+    let left: u64 = seen.header("x-time-left-ms").expect("the time left").parse().expect("a number");
+    assert!(left < 15_000, "the proxy waits for less than the client does, not {left} ms");
+}
+
+#[test]
+fn a_connection_serves_one_request_after_another() {
+    let discovery = Discovery::start();
+    let backend = Backend::start(|seen| ok(seen.header("x-correlation-id").expect("an id")));
+    let proxy = Proxy::start("kept", &discovery, &[entry("s-1", backend.address, "active", 0)]);
+    let mut client = proxy.client();
+    for id in ["a", "b", "c"] {
+        let got = client.ask(&request("read", id, ""));
+        assert_eq!((got.status(), got.body.as_slice()), (200, id.as_bytes()));
+    }
+}
+
+#[test]
+fn what_makes_no_sense_gets_a_plain_4xx_and_does_no_harm() {
+    let discovery = Discovery::start();
+    let backend = Backend::start(|_| ok("fine"));
+    let proxy = Proxy::start("nonsense", &discovery, &[entry("s-1", backend.address, "active", 0)]);
+    let good = request("submit", "7", "x");
+    let cases = [
+        ("\x01\x02 nonsense\r\n\r\n".to_owned(), 400),
+        (good.replace("/submit", "/nothing"), 400),
+        (good.replace("X-Service-Class: submit", "X-Service-Class: read"), 400),
+        (good.replace("X-Correlation-Id: 7\r\n", ""), 400),
+        (good.replace("X-Time-Left-Ms: 15000\r\n", ""), 400),
+        (good.replace("15000", "-5"), 400),
+        (good.replace("15000", "99999999999999999999999"), 400),
+        (good.replace("Idempotency-Key: 7\r\n", ""), 400),
+        (good.replace("POST", "GET"), 405),
+        (request("submit", "8", &"x".repeat(65 * 1024)), 413),
+    ];
+    for (text, status) in cases {
+        let line = text.lines().next().unwrap_or_default().to_owned();
+        assert_eq!(proxy.client().ask(&text).status(), status, "{line}");
+    }
+    assert_eq!(backend.rest(), 0);
+    assert_eq!(proxy.client().ask(&good).status(), 200);
+}
+
+#[test]
+fn a_body_at_the_cap_passes() {
+    let discovery = Discovery::start();
+    let body = "y".repeat(64 * 1024);
+    let answered = body.clone();
+    let backend = Backend::start(move |_| ok(&answered));
+    let proxy = Proxy::start("cap", &discovery, &[entry("s-1", backend.address, "active", 0)]);
+    let got = proxy.client().ask(&request("submit", "1", &body));
+    assert_eq!((got.status(), got.body.len()), (200, body.len()));
+    assert_eq!(backend.next().body.len(), body.len());
+}
+
+#[test]
+fn a_broken_answer_is_never_a_200_and_an_unsafe_request_is_not_sent_again() {
+    let breaks: [&[u8]; 3] = [b"", b"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf", b"garbage\r\n\r\n"];
+    for (i, bytes) in breaks.into_iter().enumerate() {
+        let discovery = Discovery::start();
+        let one = Backend::start(move |_| Reply::WriteAndClose(bytes.to_vec()));
+        let two = Backend::start(move |_| Reply::WriteAndClose(bytes.to_vec()));
+        let members = [entry("s-1", one.address, "active", 0), entry("s-2", two.address, "active", 0)];
+        let proxy = Proxy::start(&format!("broken-{i}"), &discovery, &members);
+        let got = proxy.client().ask(&request("charge", "1", "x"));
+        assert_eq!(got.status(), 502, "failed: the request may have run");
+        assert_eq!(one.rest() + two.rest(), 1);
+    }
+}
+
+#[test]
+fn only_the_mark_tells_that_a_request_was_turned_away() {
+    for (more, status, attempts) in
+        [("X-Unprocessed: 1\r\n", 503, 2), ("", 502, 1), ("X-Unprocessed: 0\r\n", 502, 1)]
+    {
+        let discovery = Discovery::start();
+        let turn_away = move |_: &Seen| Reply::Write(answer("503 Service Unavailable", more, b""));
+        let (one, two) = (Backend::start(turn_away), Backend::start(turn_away));
+        let members = [entry("s-1", one.address, "active", 0), entry("s-2", two.address, "active", 0)];
+        let proxy = Proxy::start(&format!("mark-{status}-{}", more.len()), &discovery, &members);
+        let got = proxy.client().ask(&request("charge", "1", "x"));
+        assert_eq!((got.status(), one.rest() + two.rest()), (status, attempts), "with `{more}`");
+    }
+}
+
+#[test]
+fn a_backend_that_cannot_be_reached_leaves_an_unsafe_request_free_to_go_elsewhere() {
+    let discovery = Discovery::start();
+    let backend = Backend::start(|_| ok("there"));
+    let nobody =
+        std::net::TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("an address");
+    let members = [entry("s-1", nobody, "active", 0), entry("s-2", backend.address, "active", 0)];
+    let proxy = Proxy::start("unreachable", &discovery, &members);
+    for id in ["1", "2", "3"] {
+        assert_eq!(proxy.client().ask(&request("charge", id, "x")).status(), 200);
+    }
+}
+
+#[test]
+fn a_connection_that_its_backend_has_closed_is_not_used_again() {
+    let discovery = Discovery::start();
+    let backend = Backend::start(|_| Reply::WriteAndClose(answer("200 OK", "", b"last")));
+    let proxy = Proxy::start("closed", &discovery, &[entry("s-1", backend.address, "active", 0)]);
+    let mut client = proxy.client();
+    for id in ["1", "2", "3", "4"] {
+        assert_eq!(client.ask(&request("charge", id, "x")).status(), 200);
+        backend.next();
+    }
+}
+
+#[test]
+fn a_request_that_a_backend_never_answers_fails_in_its_time() {
+    let discovery = Discovery::start();
+    let backend = Backend::start(|_| Reply::Hang);
+    let proxy = Proxy::start("hang", &discovery, &[entry("s-1", backend.address, "active", 0)]);
+    let mut client = proxy.client();
+    let got = client.ask(&request("charge", "1", "x").replace("15000", "300"));
+    assert_eq!(got.status(), 502);
+    assert_eq!(client.ask(UP).status(), 200, "exactly one answer came, and the connection goes on");
+}
+
+#[test]
+fn without_room_a_request_is_refused_with_a_word_on_when_to_return() {
+    let discovery = Discovery::start();
+    let (backend, releases) = full_backend();
+    let proxy = Proxy::start("refused", &discovery, &[entry("s-1", backend.address, "active", 0)]);
+    let mut first = fill(&proxy, &backend);
+    let refused = proxy.client().ask(&request("charge", "2", "x").replace("15000", "500"));
+    assert_eq!(refused.status(), 503);
+    let wait: f64 = refused.header("retry-after").expect("Retry-After").parse().expect("seconds");
+    assert!(wait > 0.0);
+    for (release, client) in releases.iter().zip(first.iter_mut().rev()) {
+        release.send(()).expect("the backend waits");
+        assert_eq!(client.receive().body, b"first");
+    }
+    assert_eq!(backend.rest(), 0, "a refused request never went out");
+}
+
+#[test]
+fn a_client_that_left_while_it_was_held_is_forgotten() {
+    let discovery = Discovery::start();
+    let (backend, releases) = full_backend();
+    let proxy = Proxy::start("left", &discovery, &[entry("s-1", backend.address, "active", 0)]);
+    let mut first = fill(&proxy, &backend);
+    let mut leaver = proxy.client();
+    leaver.send(&request("charge", "2", "x"));
+    // The answers on other connections show that the proxy has seen what came before them.
+    assert_eq!(proxy.client().ask(UP).status(), 200);
+    drop(leaver);
+    assert_eq!(proxy.client().ask(UP).status(), 200);
+    for (release, client) in releases.iter().zip(first.iter_mut().rev()) {
+        release.send(()).expect("the backend waits");
+        assert_eq!(client.receive().status(), 200);
+    }
+    assert_eq!(proxy.client().ask(&request("charge", "3", "x")).status(), 200);
+    assert_eq!(backend.next().header("x-correlation-id"), Some("3"));
+}
+
+#[test]
+fn nothing_new_goes_to_a_backend_that_drains_or_is_gone() {
+    for phase in ["leaving", "left"] {
+        let discovery = Discovery::start();
+        let backend = Backend::start(|_| ok("there"));
+        let proxy = Proxy::start(phase, &discovery, &[entry("s-1", backend.address, "active", 0)]);
+        assert_eq!(proxy.client().ask(&request("read", "1", "")).status(), 200);
+        backend.next();
+        discovery.post(false, &[entry("s-1", backend.address, phase, 0)]);
+        let short = request("read", "2", "").replace("15000", "300");
+        assert_eq!(proxy.client().ask(&short).status(), 503, "{phase}");
+        assert_eq!(backend.rest(), 0, "{phase}");
+        discovery.post(true, &[entry("s-1", backend.address, "active", 0)]);
+        assert_eq!(proxy.client().ask(&request("read", "3", "")).status(), 200);
+    }
+}
+
+#[test]
+fn a_restarted_backend_gets_a_new_connection() {
+    let discovery = Discovery::start();
+    let backend = Backend::start(|_| ok("there"));
+    let proxy = Proxy::start("restarted", &discovery, &[entry("s-1", backend.address, "active", 1_000)]);
+    let mut client = proxy.client();
+    assert_eq!(client.ask(&request("charge", "1", "x")).status(), 200);
+    assert_eq!(client.ask(&request("charge", "2", "x")).status(), 200);
+    let (first, second) = (backend.next().connection, backend.next().connection);
+    assert_eq!(first, second, "a connection is used again");
+    discovery.post(false, &[entry("s-1", backend.address, "active", 2_000)]);
+    assert_eq!(client.ask(&request("charge", "3", "x")).status(), 200);
+    assert_ne!(backend.next().connection, second);
+}
+
+#[test]
+fn odd_entries_of_a_list_are_passed_over() {
+    let discovery = Discovery::start();
+    let backend = Backend::start(|_| ok("there"));
+    let good = entry("s-1", backend.address, "active", 0);
+    let odd = |name: &str, value: serde_json::Value| {
+        let mut entry = entry("s-odd", backend.address, "active", 0);
+        entry[name] = value;
+        entry
+    };
+    let members = [
+        serde_json::Value::Null,
+        odd("host_port", "nowhere".into()),
+        odd("phase", "dancing".into()),
+        odd("locality", "mars".into()),
+        odd("cell", (-1).into()),
+        odd("id", 7.into()),
+        good,
+    ];
+    let proxy = Proxy::start("odd", &discovery, &members);
+    assert_eq!(proxy.client().ask(&request("read", "1", "")).status(), 200);
+}
+
+#[test]
+fn it_is_up_only_once_it_holds_a_list() {
+    let discovery = Discovery::start();
+    let backend = Backend::start(|_| ok("there"));
+    let proxy = Proxy::start_bare("up", &discovery);
+    assert_eq!(proxy.client().ask(UP).status(), 503);
+    discovery.post(true, &[entry("s-1", backend.address, "active", 0)]);
+    assert_eq!(proxy.client().ask(UP).status(), 200);
+}
+
+#[test]
+fn at_sigterm_it_finishes_what_it_took_and_what_still_comes() {
+    let discovery = Discovery::start();
+    let (release, word) = channel();
+    let mut word = Some(word);
+    let one = Backend::start(move |seen| match seen.header("x-correlation-id") {
+        Some("1") => Reply::After(word.take().expect("asked once"), Box::new(ok("taken before"))),
+        _ => ok("still comes"),
+    });
+    let members = [entry("s-1", one.address, "active", 0)];
+    let mut proxy = Proxy::start("sigterm", &discovery, &members);
+    let (mut idle, mut before) = (proxy.client(), proxy.client());
+    assert_eq!(idle.ask(UP).status(), 200);
+    before.send(&request("read", "1", ""));
+    one.next();
+    proxy.terminate();
+    // Once /up says so, the signal has arrived; connections are still accepted.
+    while proxy.client().ask(UP).status() == 200 {}
+    let late = proxy.client().ask(UP);
+    assert_eq!(late.header("connection"), Some("close"));
+    assert!(idle.ends_cleanly(), "an idle connection is closed, not reset");
+    release.send(()).expect("the backend waits");
+    let got = before.receive();
+    assert_eq!((got.status(), got.body.as_slice()), (200, b"taken before".as_slice()));
+    assert_eq!(got.header("connection"), Some("close"));
+    assert!(before.ends_cleanly());
+    drop((idle, before));
+    assert_eq!(proxy.wait().code(), Some(0));
+}
+
+#[test]
+fn a_bad_configuration_ends_the_start_with_one_clear_line() {
+    let bad_address = r#"{"listen":"here","discovery":"127.0.0.1:1","settings":{}}"#;
+    for (name, config, word) in [
+        ("no-json", "{", "malformed configuration"),
+        ("no-settings", "{}", "settings"),
+        ("bad-address", bad_address, "listen"),
+    ] {
+        let mut child = launch(name, config);
+        let mut text = String::new();
+        child.stderr.take().expect("standard error").read_to_string(&mut text).expect("text");
+        assert_eq!(child.wait().expect("it ends").code(), Some(1));
+        assert_eq!(text.lines().count(), 1, "{text}");
+        assert!(text.contains(word), "{text}");
+    }
+}
--- /dev/null
+++ b/tests/proxy/rig.rs
@@ -0,0 +1,320 @@
+//! The proxy's program with stand-ins for backends, discovery and clients, all on loopback sockets. Nothing
+//! here waits for a span of time: tests wait for events, and the time-outs only end a test that has failed.
+
+use serde_json::{Value, json};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, ChildStderr, Command, ExitStatus, Stdio};
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::sync::{Arc, Condvar, Mutex};
+use std::time::Duration;
+use std::{env, fs, thread};
+
+/// Ends a test that waits for what never comes.
+pub const PATIENCE: Duration = Duration::from_secs(20);
+
+/// A message as it came: its head and its body.
+#[derive(Clone, Debug)]
+pub struct Seen {
+    pub head: String,
+    pub body: Vec<u8>,
+    /// Which of the backend's connections it came on.
+    pub connection: usize,
+}
+
+impl Seen {
+    pub fn first_line(&self) -> &str {
+        self.head.lines().next().unwrap_or_default()
+    }
+
+    pub fn status(&self) -> u16 {
+        self.first_line().split(' ').nth(1).and_then(|s| s.parse().ok()).expect("a status line")
+    }
+
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let mut fields = self.head.lines().filter_map(|line| line.split_once(':'));
+        fields.find(|(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, value)| value.trim())
+    }
+}
+
+/// Reads one message; `None` at the end of the connection.
+pub fn read_message(reader: &mut impl BufRead) -> Option<Seen> {
+    let mut head = String::new();
+    while !head.ends_with("\r\n\r\n") {
+        if reader.read_line(&mut head).ok()? == 0 {
+            return None;
+        }
+    }
+    let mut seen = Seen { head, body: Vec::new(), connection: 0 };
+    let length = seen.header("content-length").map_or(0, |l| l.parse().expect("a length"));
+    seen.body.resize(length, 0);
+    reader.read_exact(&mut seen.body).ok()?;
+    Some(seen)
+}
+
+/// What a backend does with a request.
+pub enum Reply {
+    /// Writes these bytes.
+    Write(Vec<u8>),
+    /// Writes these bytes and closes the connection.
+    WriteAndClose(Vec<u8>),
+    /// Waits for a word from the test, then does that.
+    After(Receiver<()>, Box<Reply>),
+    /// Never answers.
+    Hang,
+}
+
+pub fn answer(status: &str, more: &str, body: &[u8]) -> Vec<u8> {
+    let mut bytes = format!("HTTP/1.1 {status}\r\n{more}Content-Length: {}\r\n\r\n", body.len()).into_bytes();
+    bytes.extend_from_slice(body);
+    bytes
+}
+
+pub fn ok(body: &str) -> Reply {
+    Reply::Write(answer("200 OK", "", body.as_bytes()))
+}
+
+type Script = Box<dyn FnMut(&Seen) -> Reply + Send>;
+
+/// A backend that answers as its script says and tells the test what it saw.
+pub struct Backend {
+    pub address: SocketAddr,
+    pub seen: Receiver<Seen>,
+}
+
+fn carry_out(reply: Reply, stream: &mut TcpStream) -> bool {
+    match reply {
+        Reply::Write(bytes) => stream.write_all(&bytes).is_ok(),
+        Reply::WriteAndClose(bytes) => {
+            let _ = stream.write_all(&bytes);
+            false
+        }
+        Reply::After(word, reply) => {
+            let _ = word.recv_timeout(PATIENCE);
+            carry_out(*reply, stream)
+        }
+        Reply::Hang => true,
+    }
+}
+
+impl Backend {
+    pub fn start(script: impl FnMut(&Seen) -> Reply + Send + 'static) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let (told, seen) = channel();
+        let script: Arc<Mutex<Script>> = Arc::new(Mutex::new(Box::new(script)));
+        thread::spawn(move || {
+            for (connection, stream) in listener.incoming().enumerate() {
+                let (Ok(mut stream), told, script) = (stream, told.clone(), Arc::clone(&script)) else {
+                    return;
+                };
+                thread::spawn(move || {
+                    let mut reader = BufReader::new(stream.try_clone().expect("a clone"));
+                    while let Some(mut request) = read_message(&mut reader) {
+                        request.connection = connection;
+                        let reply = script.lock().expect("a script")(&request);
+                        let _ = told.send(request);
+                        if !carry_out(reply, &mut stream) {
+                            let _ = stream.shutdown(std::net::Shutdown::Both);
+                            return;
+                        }
+                    }
+                });
+            }
+        });
+        Self { address, seen }
+    }
+
+    /// The next request that it sees.
+    pub fn next(&self) -> Seen {
+        self.seen.recv_timeout(PATIENCE).expect("the backend sees a request")
+    }
+
+    /// What it has seen beyond that.
+    pub fn rest(&self) -> usize {
+        self.seen.try_iter().count()
+    }
+}
+
+/// A backend's entry in discovery's list.
+pub fn entry(id: &str, address: SocketAddr, phase: &str, up_since_ms: u64) -> Value {
+    json!({"id": id, "host_port": address.to_string(), "locality": "a", "flavor": "m", "cell": 0,
+           "phase": phase, "size": 1.0, "up_since_ms": up_since_ms})
+}
+
+struct Board {
+    revision: u64,
+    list: Option<Value>,
+}
+
+/// Discovery that tells what the test posts, and which version each call knows.
+pub struct Discovery {
+    pub address: SocketAddr,
+    board: Arc<(Mutex<Board>, Condvar)>,
+    calls: Receiver<Option<u64>>,
+}
+
+fn serve_watch(stream: TcpStream, board: &(Mutex<Board>, Condvar), told: &Sender<Option<u64>>) -> Option<()> {
+    let mut reader = BufReader::new(stream.try_clone().ok()?);
+    let mut stream = stream;
+    loop {
+        let request = read_message(&mut reader)?;
+        let after = request.first_line().split_once("after=").map(|(_, rest)| {
+            let digits: String = rest.chars().take_while(char::is_ascii_digit).collect();
+            digits.parse::<u64>().expect("a version")
+        });
+        told.send(after).ok()?;
+        let (lock, changed) = board;
+        let mut board = lock.lock().expect("the board");
+        while board.list.is_none() || after == Some(board.revision) {
+            board = changed.wait(board).expect("the board");
+        }
+        let text = board.list.clone()?.to_string();
+        drop(board);
+        stream.write_all(&answer("200 OK", "", text.as_bytes())).ok()?;
+    }
+}
+
+impl Discovery {
+    /// Discovery that holds every call until a list is posted.
+    pub fn start() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let board = Arc::new((Mutex::new(Board { revision: 0, list: None }), Condvar::new()));
+        let (told, calls) = channel();
+        let shared = Arc::clone(&board);
+        thread::spawn(move || {
+            for stream in listener.incoming() {
+                let (Ok(stream), board, told) = (stream, Arc::clone(&shared), told.clone()) else { return };
+                thread::spawn(move || serve_watch(stream, &board, &told));
+            }
+        });
+        Self { address, board, calls }
+    }
+
+    /// Posts a list and waits until the proxy holds it: it then asks for what is newer.
+    pub fn post(&self, complete: bool, members: &[Value]) {
+        let (lock, changed) = &*self.board;
+        let mut board = lock.lock().expect("the board");
+        board.revision += 1;
+        let revision = board.revision;
+        board.list = Some(json!({"revision": revision, "complete": complete, "members": members}));
+        drop(board);
+        changed.notify_all();
+        while self.calls.recv_timeout(PATIENCE).expect("a further watch") != Some(revision) {}
+    }
+}
+
+pub fn settings() -> Value {
+    let class = |name: &str, effect: &str| {
+        json!({"name": name, "aimUs": 10_000_000, "deadlineUs": 20_000_000, "worth": 1.0, "lateWorth": 0.5,
+               "effect": effect, "group": "cell", "keyTtlUs": 3_000_000})
+    };
+    json!({"me": 0, "balancers": 1, "zone": 0, "failureDomains": ["a"], "kinds": ["m"],
+        "membershipMode": "pushed",
+        "classes": [class("read", "retryable"), class("submit", "dedup"), class("charge", "fragile")],
+        "permissions": {"maxAttempts": 4, "secondCopies": true, "cancel": true, "probes": true,
+                        "connIdleUs": 15_000_000, "multiplex": 1, "retryAfter": true,
+                        "maxRetryAfterUs": 2_000_000, "dialTimeoutUs": 5_000_000},
+        "safety": {"coldFrom": 0.3, "coldUs": 8_000_000, "fallMultiple": 3.0, "fallUs": 2_000_000}})
+}
+
+/// The program, running.
+pub struct Proxy {
+    pub child: Child,
+    pub address: SocketAddr,
+    _log: BufReader<ChildStderr>,
+}
+
+/// Starts the program with this configuration, its standard error at hand.
+pub fn launch(name: &str, config: &str) -> Child {
+    let path = env::temp_dir().join(format!("haventrack-{}-{name}.json", std::process::id()));
+    fs::write(&path, config).expect("the configuration is written");
+    let mut command = Command::new(env!("CARGO_BIN_EXE_haventrack-proxy"));
+    command.env("EDGE_CONFIG", path).stderr(Stdio::piped()).spawn().expect("the program starts")
+}
+
+impl Proxy {
+    /// A proxy that is up with these backends.
+    pub fn start(name: &str, discovery: &Discovery, members: &[Value]) -> Self {
+        let proxy = Self::start_bare(name, discovery);
+        discovery.post(true, members);
+        proxy
+    }
+
+    /// A proxy that has been told nothing yet.
+    pub fn start_bare(name: &str, discovery: &Discovery) -> Self {
+        let config = json!({"name": name, "listen": "127.0.0.1:0", "discovery": discovery.address.to_string(),
+            "seed": "8c1f30d27a5be964", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "known": {"revision": 0, "complete": true, "members": []}, "settings": settings()});
+        let mut child = launch(name, &config.to_string());
+        let mut log = BufReader::new(child.stderr.take().expect("standard error"));
+        let mut line = String::new();
+        let address = loop {
+            line.clear();
+            assert_ne!(log.read_line(&mut line).expect("a log"), 0, "the proxy ended before it listened");
+            if let Some((_, address)) = line.trim().rsplit_once("listens on ") {
+                break address.parse().expect("an address");
+            }
+        };
+        Self { child, address, _log: log }
+    }
+
+    pub fn client(&self) -> Client {
+        let stream = TcpStream::connect(self.address).expect("the proxy accepts");
+        stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+        Client { reader: BufReader::new(stream.try_clone().expect("a clone")), stream }
+    }
+
+    pub fn terminate(&self) {
+        let done = Command::new("kill").args(["-TERM", &self.child.id().to_string()]).status();
+        assert!(done.expect("kill runs").success());
+    }
+
+    pub fn wait(&mut self) -> ExitStatus {
+        self.child.wait().expect("the proxy ends")
+    }
+}
+
+impl Drop for Proxy {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+pub struct Client {
+    pub stream: TcpStream,
+    pub reader: BufReader<TcpStream>,
+}
+
+/// A request of a class as clients send it. `id` is also its key.
+pub fn request(class: &str, id: &str, body: &str) -> String {
+    let method = if class == "read" { "GET" } else { "POST" };
+    let key = if class == "submit" { format!("Idempotency-Key: {id}\r\n") } else { String::new() };
+    format!(
+        "{method} /{class}?key=7f3a HTTP/1.1\r\nHost: app.svc\r\nX-Correlation-Id: {id}\r\n\
+         X-Service-Class: {class}\r\nX-Time-Left-Ms: 15000\r\n{key}Content-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+impl Client {
+    pub fn send(&mut self, text: &str) {
+        self.stream.write_all(text.as_bytes()).expect("the proxy reads");
+    }
+
+    pub fn receive(&mut self) -> Seen {
+        read_message(&mut self.reader).expect("a whole answer")
+    }
+
+    pub fn ask(&mut self, text: &str) -> Seen {
+        self.send(text);
+        self.receive()
+    }
+
+    /// Whether the proxy ends the connection without a reset and without a further byte.
+    pub fn ends_cleanly(&mut self) -> bool {
+        matches!(self.reader.read(&mut [0; 64]), Ok(0))
+    }
+}
