--- a/tests/module.rs
+++ b/tests/module.rs
@@ -305,10 +305,11 @@
     assert!(!round(&mut proxy, 100 * MS, Outcome::Ok), "a short rest is trusted still");
 }
 
-/// A request lost on a rested connection is the connection's fault: the server is not ejected for it.
+/// A request lost on a rested connection is the connection's fault: the server is not ejected for it. A rest of
+/// a fraction of a second is what every connection has under load, and excuses no server.
 #[test]
 fn a_loss_on_a_rested_connection_ejects_nobody() {
-    for (rest, ejects) in [(2 * SECOND, false), (0, true)] {
+    for (rest, ejects) in [(2 * SECOND, false), (300 * MS, true), (0, true)] {
         let mut proxy = Proxy::new(single_zone(), one_zone(2));
         for id in 0..2 {
             let server = sent_to(&proxy.request(request(id, 1))).expect("there is room");
