Test that a restarted proxy takes its old address

Checked: the test fails where SO_REUSEADDR is not set (the second program ends before it listens) and passes with it. Tests that need a port to stay free use loopback addresses of their own, so that no other test can be given that port in between.

--- a/tests/proxy/main.rs
+++ b/tests/proxy/main.rs
@@ -139,7 +139,7 @@
     let discovery = Discovery::start();
     let backend = Backend::start(|_| ok("there"));
     let nobody =
-        std::net::TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("an address");
+        std::net::TcpListener::bind("127.77.0.2:0").expect("a port").local_addr().expect("an address");
     let members = [entry("s-1", nobody, "active", 0), entry("s-2", backend.address, "active", 0)];
     let proxy = Proxy::start("unreachable", &discovery, &members);
     for id in ["1", "2", "3"] {
@@ -355,6 +355,28 @@
     assert_eq!(proxy.wait().code(), Some(0));
 }
 
+#[test]
+fn a_restarted_proxy_takes_its_old_address_while_connections_of_the_old_one_linger() {
+    let discovery = Discovery::start();
+    // An address of its own: no other test can be given the port in between.
+    let mut first = config("first-life", &discovery);
+    first["listen"] = "127.77.0.1:0".into();
+    let mut proxy = Proxy::start_with("first-life", first);
+    let address = proxy.address;
+    let mut client = proxy.client();
+    assert_eq!(client.ask(UP).status(), 503);
+    proxy.terminate();
+    // The proxy closes first, so the kernel keeps its side of the connection for a while.
+    assert!(client.ends_cleanly());
+    drop(client);
+    assert_eq!(proxy.wait().code(), Some(0));
+    let mut config = config("second-life", &discovery);
+    config["listen"] = address.to_string().into();
+    let again = Proxy::start_with("second-life", config);
+    assert_eq!(again.address, address);
+    assert_eq!(again.client().ask(UP).status(), 503);
+}
+
 #[test]
 fn a_bad_configuration_ends_the_start_with_one_clear_line() {
     let bad_address = r#"{"listen":"here","discovery":"127.0.0.1:1","settings":{}}"#;
