Take SIGHUP as a new configuration and follow discovery to its new address

Lines at fault: src/bin/haventrack-proxy.rs start() installed SIGTERM only; Watcher kept one address for good. Mend: both handlers are installed before the configuration is read; each SIGHUP reads the file again and hands discovery's address to the watcher, which drops watch and version and fetches the full list, while the list that is held serves on. A bad file is logged and changes nothing. Test: at_sighup_it_goes_over_to_the_new_discovery_and_serves_on (two moves, a bad file between, a request open).

--- a/src/bin/haventrack-proxy.rs
+++ b/src/bin/haventrack-proxy.rs
@@ -39,7 +39,35 @@
     socket.listen(BACKLOG)
 }
 
-async fn run(config: Config, mut stop: Signal) -> Result<(), Box<dyn Error>> {
+/// The signals that do not end the process.
+struct Signals {
+    stop: Signal,
+    reload: Signal,
+}
+
+impl Signals {
+    /// Takes them over. Until then either ends the process, so this comes before anything else.
+    fn install() -> std::io::Result<Self> {
+        Ok(Self { stop: signal(SignalKind::terminate())?, reload: signal(SignalKind::hangup())? })
+    }
+}
+
+/// Reads the configuration again at each SIGHUP, for as long as the proxy runs, and tells where discovery is
+/// now. Serving goes on meanwhile; a file that can't be used changes nothing.
+async fn follow_configuration(mut reload: Signal, discovery: watch::Sender<SocketAddr>) {
+    while reload.recv().await.is_some() {
+        match Config::from_env() {
+            Ok(config) => {
+                log(format_args!("read the configuration again: discovery is at {}", config.discovery));
+                discovery
+                    .send_if_modified(|now| std::mem::replace(now, config.discovery) != config.discovery);
+            }
+            Err(error) => log(format_args!("kept the old configuration: {error}")),
+        }
+    }
+}
+
+async fn run(config: Config, signals: Signals) -> Result<(), Box<dyn Error>> {
     let clock = Clock::start();
     let settings = config.settings;
     let longest = settings.classes.iter().map(|c| c.deadline).max().unwrap_or_default();
@@ -60,12 +88,14 @@
     let held = Rc::new(Cell::new(false));
     let translator = Translator::new(clock, &config.names);
     let subscriptions = asked.then_some(subscriptions);
-    let mut watcher =
-        Watcher::new(config.discovery, translator, handle.clone(), Rc::clone(&held), subscriptions);
+    let (discovery, addresses) = watch::channel(config.discovery);
+    let mut watcher = Watcher::new(addresses, translator, handle.clone(), Rc::clone(&held), subscriptions);
     watcher.start_from(config.known);
     let (phase, phases) = watch::channel(Phase::Running);
     let clients = Clients::new(handle, clock, &settings, &config.names, held, phases, config.client_sockets);
 
+    let Signals { mut stop, reload } = signals;
+    tokio::task::spawn_local(follow_configuration(reload, discovery));
     let driver = tokio::task::spawn_local(driver.run());
     tokio::task::spawn_local(watcher.run());
     tokio::task::spawn_local(fleet.sweep());
@@ -92,11 +122,10 @@
 }
 
 fn start() -> Result<(), Box<dyn Error>> {
-    let config = Config::from_env()?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     LocalSet::new().block_on(&runtime, async {
-        let stop = signal(SignalKind::terminate())?;
-        run(config, stop).await
+        let signals = Signals::install()?;
+        run(Config::from_env()?, signals).await
     })
 }
 
--- a/src/proxy/discovery.rs
+++ b/src/proxy/discovery.rs
@@ -20,7 +20,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio::task::JoinHandle;
 use tokio::time::{sleep, timeout};
 
@@ -213,8 +213,8 @@
 
 /// Follows discovery.
 pub struct Watcher {
-    address: SocketAddr,
-    host: Option<HeaderValue>,
+    /// Where discovery is, which a new configuration may change while the proxy runs.
+    addresses: watch::Receiver<SocketAddr>,
     translator: Translator,
     handle: Handle,
     /// Set once a list is held.
@@ -223,6 +223,8 @@
     asked: Option<mpsc::UnboundedReceiver<()>>,
     conn: Option<Conn>,
     revision: Option<u64>,
+    /// Discovery is at a new address: it is called without the module's asking.
+    moved: bool,
     /// The list of the configuration can be served from.
     fallback: bool,
 }
@@ -231,14 +233,14 @@
     /// A watcher that has made no call. With `asked` it begins a watch only when told to, otherwise by itself.
     #[must_use]
     pub fn new(
-        address: SocketAddr,
+        addresses: watch::Receiver<SocketAddr>,
         translator: Translator,
         handle: Handle,
         held: Rc<Cell<bool>>,
         asked: Option<mpsc::UnboundedReceiver<()>>,
     ) -> Self {
-        let host = HeaderValue::try_from(address.to_string()).ok();
-        Self { address, host, translator, handle, held, asked, conn: None, revision: None, fallback: false }
+        let (conn, revision) = (None, None);
+        Self { addresses, translator, handle, held, asked, conn, revision, moved: false, fallback: false }
     }
 
     /// Hands on the list that the configuration holds. It may be old: the next call asks for the whole list.
@@ -255,11 +257,30 @@
         self.handle.tell(Message::Listed(Scope::Cached, entries));
     }
 
-    /// Follows discovery for as long as the proxy runs.
+    /// Follows discovery for as long as the proxy runs, at whatever address it is.
     pub async fn run(mut self) {
+        let mut addresses = self.addresses.clone();
+        addresses.mark_unchanged();
+        loop {
+            tokio::select! {
+                () = self.follow() => return,
+                Ok(()) = addresses.changed() => self.leave(),
+            }
+        }
+    }
+
+    /// Discovery has moved. The watch ends at once, for the old service is about to close it, and versions are
+    /// each service's own: one taken along would make the new service leave out what this proxy lacks. The list
+    /// that is held serves on until the new one has come.
+    fn leave(&mut self) {
+        (self.conn, self.revision, self.moved) = (None, None, true);
+    }
+
+    /// Follows discovery where it is now. Ends with the process.
+    async fn follow(&mut self) {
         let mut failures = 0_u32;
         loop {
-            if self.revision.is_none() || failures > 0 {
+            if (self.revision.is_none() || failures > 0) && !std::mem::take(&mut self.moved) {
                 self.wait_for_call().await;
             }
             match self.call().await {
@@ -325,6 +346,7 @@
     }
 
     async fn fetch(&mut self, target: &str) -> Result<Bytes, DiscoveryError> {
+        let address = *self.addresses.borrow();
         let mut kept = self.conn.take();
         if let Some(conn) = &mut kept
             && conn.sender.ready().await.is_err()
@@ -333,12 +355,12 @@
         }
         let mut conn = match kept {
             Some(conn) => conn,
-            None => dial(self.address).await.ok_or(DiscoveryError::Connection)?,
+            None => dial(address).await.ok_or(DiscoveryError::Connection)?,
         };
         let mut request = Request::new(Empty::new());
         *request.uri_mut() = target.parse::<Uri>().unwrap_or_default();
-        if let Some(host) = &self.host {
-            request.headers_mut().insert(HOST, host.clone());
+        if let Ok(host) = HeaderValue::try_from(address.to_string()) {
+            request.headers_mut().insert(HOST, host);
         }
         let sent = conn.sender.send_request(request).await;
         let response = sent.map_err(|_| DiscoveryError::Connection)?;
--- a/tests/proxy/main.rs
+++ b/tests/proxy/main.rs
@@ -325,6 +325,39 @@
     drop(filler);
 }
 
+#[test]
+fn at_sighup_it_goes_over_to_the_new_discovery_and_serves_on() {
+    let (old, new) = (Discovery::start(), Discovery::start());
+    let (release, word) = channel();
+    let mut word = Some(word);
+    let before = Backend::start(move |_| match word.take() {
+        Some(word) => Reply::After(word, Box::new(ok("taken before"))),
+        None => ok("before"),
+    });
+    let after = Backend::start(|_| ok("after"));
+    let mut proxy = Proxy::start("sighup", &old, &[entry("s-1", before.address, "active", 0)]);
+    let mut client = proxy.client();
+    client.send(&request("charge", "1", "x"));
+    before.next();
+    // A file that can't be used leaves all as it was.
+    proxy.reload("{");
+    proxy.wait_for_log("kept the old configuration");
+    assert_eq!(proxy.client().ask(&request("read", "2", "")).body, b"before");
+    for turn in 0..2 {
+        let (from, to, name) = if turn == 0 { (&old, &new, "s-2") } else { (&new, &old, "s-3") };
+        from.calls();
+        to.calls();
+        proxy.reload(&config("sighup", to).to_string());
+        assert_eq!(to.next_call(), None, "the version of another service means nothing to this one");
+        // Until the new service has told its list, the old list serves.
+        assert_eq!(proxy.client().ask(&request("read", "3", "")).status(), 200);
+        to.post(true, &[entry(name, after.address, "active", 0)]);
+        assert_eq!(proxy.client().ask(&request("read", "4", "")).body, b"after");
+    }
+    release.send(()).expect("the backend waits");
+    assert_eq!(client.receive().body, b"taken before");
+}
+
 #[test]
 fn at_sigterm_it_finishes_what_it_took_and_what_still_comes() {
     let discovery = Discovery::start();
--- a/tests/proxy/rig.rs
+++ b/tests/proxy/rig.rs
@@ -4,6 +4,7 @@
 use serde_json::{Value, json};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
 use std::process::{Child, ChildStderr, Command, ExitStatus, Stdio};
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::sync::{Arc, Condvar, Mutex};
@@ -192,6 +193,16 @@
         Self { address, board, calls }
     }
 
+    /// The version that the next call knows.
+    pub fn next_call(&self) -> Option<u64> {
+        self.calls.recv_timeout(PATIENCE).expect("a call")
+    }
+
+    /// How many calls came that the test has not looked at; it has then.
+    pub fn calls(&self) -> usize {
+        self.calls.try_iter().count()
+    }
+
     /// Posts a list and waits until the proxy holds it: it then asks for what is newer.
     pub fn post(&self, complete: bool, members: &[Value]) {
         let (lock, changed) = &*self.board;
@@ -230,12 +241,17 @@
 pub struct Proxy {
     pub child: Child,
     pub address: SocketAddr,
-    _log: BufReader<ChildStderr>,
+    name: String,
+    log: BufReader<ChildStderr>,
+}
+
+fn config_path(name: &str) -> PathBuf {
+    env::temp_dir().join(format!("haventrack-{}-{name}.json", std::process::id()))
 }
 
 /// Starts the program with this configuration, its standard error at hand.
 pub fn launch(name: &str, config: &str) -> Child {
-    let path = env::temp_dir().join(format!("haventrack-{}-{name}.json", std::process::id()));
+    let path = config_path(name);
     fs::write(&path, config).expect("the configuration is written");
     let mut command = Command::new(env!("CARGO_BIN_EXE_haventrack-proxy"));
     command.env("EDGE_CONFIG", path).stderr(Stdio::piped()).spawn().expect("the program starts")
@@ -266,7 +282,7 @@
                 break address.parse().expect("an address");
             }
         };
-        Self { child, address, _log: log }
+        Self { child, address, name: name.into(), log }
     }
 
     pub fn client(&self) -> Client {
@@ -275,11 +291,30 @@
         Client { reader: BufReader::new(stream.try_clone().expect("a clone")), stream }
     }
 
-    pub fn terminate(&self) {
-        let done = Command::new("kill").args(["-TERM", &self.child.id().to_string()]).status();
+    fn signal(&self, signal: &str) {
+        let done = Command::new("kill").args([signal, &self.child.id().to_string()]).status();
         assert!(done.expect("kill runs").success());
     }
 
+    pub fn terminate(&self) {
+        self.signal("-TERM");
+    }
+
+    /// Replaces the configuration's file and tells the proxy so.
+    pub fn reload(&self, config: &str) {
+        fs::write(config_path(&self.name), config).expect("the configuration is written");
+        self.signal("-HUP");
+    }
+
+    /// Waits for a line of the log that holds these words.
+    pub fn wait_for_log(&mut self, words: &str) {
+        let mut line = String::new();
+        while !line.contains(words) {
+            line.clear();
+            assert_ne!(self.log.read_line(&mut line).expect("a log"), 0, "the proxy ended");
+        }
+    }
+
     pub fn wait(&mut self) -> ExitStatus {
         self.child.wait().expect("the proxy ends")
     }
