Pass on good answers of up to 1 MiB, within a bound on memory

Lines at fault: backends.rs exchange() held answers to BODY_CAP (64 KiB), as the protocol words it; each such request ran five times and its backends were blamed. Mend: answers up to 1 MiB pass; those beyond 64 KiB reserve their length from a fifth of limits.memory_mb until the client has them; one that finds nothing left is withdrawn (Cancelled), which blames nobody. Test: a_large_answer_passes (20 of 400 KB in turn with 8 MB; fails without the mend, and if nothing is given back).

--- a/src/bin/haventrack-proxy.rs
+++ b/src/bin/haventrack-proxy.rs
@@ -76,6 +76,7 @@
         Limits { max_attempts: settings.permissions.max_attempts, report_by_probe: settings.report_by_probe };
     let fleet = Fleet::new(
         config.backend_sockets,
+        config.large_answers,
         config.dial_timeout,
         settings.permissions.conn_idle,
         config.names.report.clone(),
--- a/src/proxy/backends.rs
+++ b/src/proxy/backends.rs
@@ -3,7 +3,7 @@
 //! A request is written to a connection once and never again by this side: whether it may be repeated is the
 //! module's to say, and it can only say so if it knows whether the last byte went out (`Wire` counts).
 
-use super::BODY_CAP;
+use super::{ANSWER_CAP, BODY_CAP};
 use crate::api::{BackendId, Micros, Outcome, Readiness};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
@@ -22,6 +22,8 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
@@ -184,6 +186,46 @@
     }
 }
 
+/// What large answers may hold at a time, until their last byte has gone to the client. Bodies within the
+/// protocol's cap are bounded by the connections.
+#[derive(Clone)]
+struct Large(Arc<AtomicUsize>);
+
+impl Large {
+    fn new(bytes: usize) -> Self {
+        Self(Arc::new(AtomicUsize::new(bytes)))
+    }
+
+    fn reserve(&self, bytes: usize) -> Option<Reserved> {
+        let left = self.0.load(Ordering::Relaxed).checked_sub(bytes)?;
+        self.0.store(left, Ordering::Relaxed);
+        Some(Reserved { bytes, of: self.clone() })
+    }
+}
+
+struct Reserved {
+    bytes: usize,
+    of: Large,
+}
+
+impl Drop for Reserved {
+    fn drop(&mut self) {
+        self.of.0.fetch_add(self.bytes, Ordering::Relaxed);
+    }
+}
+
+/// An answer's body, with what is reserved for it as long as anybody holds it.
+struct Held {
+    body: Bytes,
+    _reserved: Reserved,
+}
+
+impl AsRef<[u8]> for Held {
+    fn as_ref(&self) -> &[u8] {
+        &self.body
+    }
+}
+
 /// One connection to a backend. Dropping it closes it, whatever is out on it.
 struct Conn {
     sender: SendRequest<Full<Bytes>>,
@@ -221,17 +263,19 @@
     servers: RefCell<FxHashMap<BackendId, Rc<Server>>>,
     sockets: Rc<Cell<usize>>,
     most_sockets: usize,
+    large: Large,
     dial_timeout: Duration,
     idle_limit: Duration,
     report_fields: Vec<String>,
 }
 
 impl Fleet {
-    /// An empty fleet. `conn_idle` is how long backends keep an idle connection, `report_fields` the fields of
+    /// An empty fleet. `large_answers` is how many bytes answers beyond the usual size may hold at a time, `conn_idle` how long backends keep an idle connection, `report_fields` the fields of
     /// a load report in the order that the module knows.
     #[must_use]
     pub fn new(
         most_sockets: usize,
+        large_answers: usize,
         dial_timeout: Micros,
         conn_idle: Micros,
         report_fields: Vec<String>,
@@ -241,6 +285,7 @@
             servers: RefCell::default(),
             sockets: Rc::default(),
             most_sockets,
+            large: Large::new(large_answers),
             dial_timeout: Duration::from_micros(dial_timeout),
             idle_limit: idle.saturating_sub(IDLE_MARGIN).max(idle / 2),
             report_fields,
@@ -388,7 +433,7 @@
         let whole = conn.wire.written.get() + least_size(&request, call.body.len());
         let exchanged = tokio::select! {
             biased;
-            exchanged = exchange(&mut conn.sender, request) => exchanged,
+            exchanged = exchange(&mut conn.sender, request, &self.large) => exchanged,
             Ok(()) = &mut cancel => Err(Broken::Cancelled),
             () = sleep_until(give_up) => Err(Broken::TimedOut),
         };
@@ -400,6 +445,7 @@
                 self.keep(&server, conn);
                 self.ended(reply)
             }
+            Err(Broken::NoMemory) => Outcome::Cancelled.into(),
             // Also ahead of the whole request: nobody knows what an early answer means.
             Err(Broken::Spoilt) => Outcome::Spoilt.into(),
             Err(Broken::Cancelled) if all_written => Outcome::Cancelled.into(),
@@ -447,7 +493,7 @@
         let target = Uri::from_static(if deep { "/metrics/load" } else { "/alive" });
         let call = Call { method: Method::GET, target, headers: HeaderMap::new(), body: Bytes::new() };
         let request = request(&call, &server, PROBE_TIMEOUT);
-        match timeout_at(until, exchange(&mut conn.sender, request)).await {
+        match timeout_at(until, exchange(&mut conn.sender, request, &self.large)).await {
             Err(_) => Outcome::Timeout.into(),
             Ok(Err(Broken::Spoilt)) => Outcome::Spoilt.into(),
             Ok(Err(_)) => Outcome::Reset.into(),
@@ -476,6 +522,8 @@
     Connection,
     /// What came can't be, or become, the answer.
     Spoilt,
+    /// This proxy has no memory left for it.
+    NoMemory,
     TimedOut,
     Cancelled,
 }
@@ -493,19 +541,31 @@
 async fn exchange(
     sender: &mut SendRequest<Full<Bytes>>,
     request: Request<Full<Bytes>>,
+    large: &Large,
 ) -> Result<Reply, Broken> {
     let response = sender.send_request(request).await.map_err(|error| Broken::from(&error))?;
     if !can_become_whole(&response) {
         return Err(Broken::Spoilt);
     }
     let (head, body) = response.into_parts();
-    let body = Limited::new(body, BODY_CAP).collect().await.map_err(|error| {
+    let size =
+        body.size_hint().exact().map_or(ANSWER_CAP, |exact| usize::try_from(exact).unwrap_or(ANSWER_CAP));
+    let reserved = match size {
+        ..=BODY_CAP => None,
+        _ => Some(large.reserve(size).ok_or(Broken::NoMemory)?),
+    };
+    let body = Limited::new(body, ANSWER_CAP).collect().await.map_err(|error| {
         let spoilt = error.is::<LengthLimitError>();
         error
             .downcast_ref::<hyper::Error>()
             .map_or(if spoilt { Broken::Spoilt } else { Broken::Connection }, Broken::from)
     })?;
-    Ok(Reply { status: head.status, headers: head.headers, body: body.to_bytes() })
+    let body = body.to_bytes();
+    let body = match reserved {
+        Some(reserved) => Bytes::from_owner(Held { body, _reserved: reserved }),
+        None => body,
+    };
+    Ok(Reply { status: head.status, headers: head.headers, body })
 }
 
 /// Whether the head leaves hope for a good answer. Where it does not, failing at once leaves time for another
@@ -514,7 +574,7 @@
 fn can_become_whole(response: &Response<Incoming>) -> bool {
     let length = response.body().size_hint();
     let ends = length.exact().is_some() || response.headers().contains_key(TRANSFER_ENCODING);
-    ends && length.lower() <= BODY_CAP as u64 && response.status() != StatusCode::SWITCHING_PROTOCOLS
+    ends && length.lower() <= ANSWER_CAP as u64 && response.status() != StatusCode::SWITCHING_PROTOCOLS
 }
 
 fn request(call: &Call, server: &Server, left: Duration) -> Request<Full<Bytes>> {
--- a/src/proxy/config.rs
+++ b/src/proxy/config.rs
@@ -11,6 +11,7 @@
 /// Descriptors that are neither clients nor backends: standard streams, the runtime, the listener, discovery.
 const RESERVED_SOCKETS: usize = 24;
 const DEFAULT_SOCKETS: usize = 1_024;
+const DEFAULT_MEMORY_MB: usize = 192;
 const DEFAULT_DIAL: Micros = 250_000;
 
 /// Why the proxy can't start.
@@ -80,6 +81,8 @@
     pub client_sockets: usize,
     /// Backend connections that may be open at a time, idle ones too.
     pub backend_sockets: usize,
+    /// Bytes that answers beyond the usual size may hold at a time.
+    pub large_answers: usize,
 }
 
 #[derive(Deserialize)]
@@ -103,6 +106,8 @@
 struct RawLimits {
     #[serde(default)]
     sockets: Option<usize>,
+    #[serde(default)]
+    memory_mb: Option<usize>,
 }
 
 #[derive(Deserialize)]
@@ -168,6 +173,7 @@
         let named = |list: Vec<Named>| list.into_iter().map(|n| n.name).collect();
         let sockets = raw.limits.sockets.unwrap_or(DEFAULT_SOCKETS).max(2 * RESERVED_SOCKETS);
         let free = sockets - RESERVED_SOCKETS;
+        let memory = raw.limits.memory_mb.unwrap_or(DEFAULT_MEMORY_MB) << 20;
         Ok(Self {
             name: raw.name.or_else(|| variable("EDGE_NAME")).unwrap_or_default(),
             listen: address("listen", raw.listen, "EDGE_LISTEN")?,
@@ -186,6 +192,7 @@
             // A client's connection may carry a request that waits for a backend's, so it gets the larger part.
             client_sockets: free * 3 / 5,
             backend_sockets: free - free * 3 / 5,
+            large_answers: memory / 5,
         })
     }
 }
--- a/tests/proxy/main.rs
+++ b/tests/proxy/main.rs
@@ -104,6 +104,23 @@
     assert_eq!(backend.next().body.len(), body.len());
 }
 
+/// Backends send good answers beyond the protocol's cap, and as many as come are passed on, one after another.
+#[test]
+fn a_large_answer_passes() {
+    let discovery = Discovery::start();
+    let large = "z".repeat(400_000);
+    let answered = large.clone();
+    let backend = Backend::start(move |_| ok(&answered));
+    let mut config = config("large", &discovery);
+    config["limits"]["memory_mb"] = 8.into();
+    let proxy = Proxy::start_with("large", config);
+    discovery.post(true, &[entry("s-1", backend.address, "active", 0)]);
+    for id in 0..20 {
+        let got = proxy.client().ask(&request("charge", &id.to_string(), "x"));
+        assert_eq!((got.status(), got.body.len()), (200, large.len()));
+    }
+}
+
 #[test]
 fn a_broken_answer_is_never_a_200_and_an_unsafe_request_is_not_sent_again() {
     let breaks: [&[u8]; 3] = [b"", b"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf", b"garbage\r\n\r\n"];
