Forget what is gone, end what clients owe in 2.5 s, blame no backend for the proxy's own shortage

Growth: ids never left Translator (numbers, taken, starts), Fleet.servers and Balancer.servers/index. Now each layer forgets a backend that is gone: Translator and Fleet at once, the module (Servers in state.rs) when no attempt of an open request names its place, so that no outcome is booked to a newcomer there. Fleet bumps life, so keep() no longer puts a connection back that was in use when its backend left. Tests: in state.rs, backends.rs, discovery.rs; connections_of_a_backend_that_is_gone_are_never_used_again. Clients: HEAD_TIMEOUT was 60 s, BODY_TIMEOUT 10 s, where an end is owed in 3 s: now one span of 2.5 s for the first head and body, which is also how long a connection may idle. A declared length over the cap gets 413 at once; any Transfer-Encoding 411 (hyper drops a length beside it before the service sees it); repeated deciding headers and signs in numbers 400; an id that is open 409; every rejection closes its connection. Tests: five in tests/proxy. Shortage: dial() without a free socket, or with a local error, reported ConnectFailed, which ejects at once; now Moot. Test: a_shortage_of_descriptors_is_blamed_on_no_backend. limits.memory_mb is read: connections and large answers are capped so that their sum fits.

--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -7,14 +7,13 @@
 //! `answer` and `send` (one answer, nothing after it), `ready` (drains) and `ColdBudget` (cold servers).
 
 use crate::api::{
-    Action, Backend, BackendId, DedupGroup, Effect, Event, Membership, Micros, Outcome, Readiness, Request,
-    Settings, SettingsError, Settled,
+    Action, Backend, DedupGroup, Effect, Event, Membership, Micros, Outcome, Readiness, Request, Settings,
+    SettingsError, Settled,
 };
 use crate::state::{
     Attempt, AttemptState, Bucket, ColdBudget, CommonLimit, Latency, Open, PeakRate, Pool, Requests, Scope,
-    Server, Window,
+    Server, Servers, Window,
 };
-use rustc_hash::FxHashMap;
 
 const SECOND: Micros = 1_000_000;
 /// The shortest window: limits follow a load that changes within seconds.
@@ -61,8 +60,8 @@
 /// An attempt is overdue at this multiple of its class's mean latency, between these parts of its aim.
 const OVERDUE_OVER_MEAN: f64 = 4.0;
 const OVERDUE_OVER_AIM: (f64, f64) = (0.25, 0.8);
-/// An attempt that may be repeated is given up at this multiple of its class's mean latency, and after this part
-/// of its aim at the earliest: no work takes so long, and pauses are waited for.
+/// An attempt that may be repeated is given up at this multiple of its class's mean latency, and after this
+/// part of its aim at the earliest: no work takes so long, and pauses are waited for.
 const LOST_OVER_MEAN: f64 = 24.0;
 const LOST_OVER_AIM: f64 = 0.4;
 /// Part of the requests that may get a further attempt after one that may have run, and the burst.
@@ -106,8 +105,7 @@
 pub struct Balancer {
     settings: Settings,
     rng: fastrand::Rng,
-    servers: Vec<Server>,
-    index: FxHashMap<BackendId, usize>,
+    servers: Servers,
     /// The servers that may be sent to. Rule 3: a draining or gone server is not in here.
     ready: Vec<usize>,
     open: Requests,
@@ -144,8 +142,7 @@
             |t: &crate::api::Tenant| Bucket { tokens: t.allowance_per_s / share, at: now, asked: 0.0 };
         Ok(Self {
             rng: fastrand::Rng::with_seed(seed),
-            servers: Vec::new(),
-            index: FxHashMap::default(),
+            servers: Servers::default(),
             ready: Vec::new(),
             open: Requests::default(),
             held: Vec::new(),
@@ -199,11 +196,12 @@
         };
         self.subscribe_failures = 0;
         if complete {
-            self.servers.iter_mut().for_each(|s| s.ready = false);
+            self.servers.unlist_all();
         }
         for entry in entries {
             self.update(now, entry);
         }
+        self.servers.forget_gone();
         self.ready.clear();
         self.ready.extend((0..self.servers.len()).filter(|&s| self.servers[s].ready));
         self.place_dithers();
@@ -234,11 +232,13 @@
 
     fn update(&mut self, now: Micros, entry: &Backend) {
         let ready = entry.readiness == Readiness::Ready;
-        let index = match self.index.get(&entry.id) {
-            Some(&index) => index,
+        let listed = entry.readiness != Readiness::Gone;
+        let index = match self.servers.find(entry.id) {
+            Some(index) => index,
+            None if !listed => return,
             None => {
                 let kind = entry.kind.min(self.settings.kinds.saturating_sub(1));
-                self.servers.push(Server {
+                let index = self.servers.insert(Server {
                     id: entry.id,
                     zone: entry.zone,
                     kind,
@@ -248,13 +248,12 @@
                     part: (1.0, now),
                     ..Server::default()
                 });
-                self.index.insert(entry.id, self.servers.len() - 1);
-                self.restarted(now, self.servers.len() - 1);
-                self.servers.len() - 1
+                self.restarted(now, index);
+                index
             }
         };
         let server = &mut self.servers[index];
-        server.ready = ready;
+        (server.listed, server.ready) = (listed, ready);
         if server.started != entry.started {
             server.started = entry.started;
             self.restarted(now, index);
@@ -407,6 +406,7 @@
         self.unhold(slot);
         self.open[slot].answered = true;
         if self.open[slot].out() == 0 {
+            self.open[slot].attempts.iter().for_each(|a| self.servers.let_go(a.server));
             self.open.release(slot);
         }
     }
@@ -588,13 +588,15 @@
         let give_up_at = self.give_up_at(now, &self.open[slot]);
         let open = &mut self.open[slot];
         open.attempts.push(Attempt { server: index, sent_at: now, rested, state: AttemptState::Out });
-        out.push(Action::Send { request: open.id, backend: self.servers[index].id, give_up_at });
+        self.servers[index].held += 1;
+        let backend = self.servers[index].id;
+        out.push(Action::Send { request: open.id, backend, give_up_at });
     }
 
     /// When an attempt that starts now is given up. Departure: where work takes a small part of the time that
     /// clients wait, an attempt without an answer long after its time is lost (a connection that fell silent,
-    /// say). Waited for to the deadline it would leave no time for another one, hold its slot, and make a server
-    /// that answers all else look silent.
+    /// say). Waited for to the deadline it would leave no time for another one, hold its slot, and make a
+    /// server that answers all else look silent.
     fn give_up_at(&self, now: Micros, open: &Open) -> Micros {
         let class = &self.settings.classes[open.class];
         let last = open.attempts.len() + 1 >= usize::from(self.settings.permissions.max_attempts);
--- a/src/proxy/backends.rs
+++ b/src/proxy/backends.rs
@@ -41,7 +41,7 @@
 const SETTLE_TIMEOUT: Duration = Duration::from_secs(1);
 /// The largest head of an answer, and what a connection reads ahead: one that does not end must not take
 /// memory until the request's time is up.
-const HEAD_CAP: usize = 16 * 1024;
+pub(super) const HEAD_CAP: usize = 16 * 1024;
 const TIME_LEFT: HeaderName = HeaderName::from_static("x-time-left-ms");
 const UNPROCESSED: HeaderName = HeaderName::from_static("x-unprocessed");
 const LOAD: HeaderName = HeaderName::from_static("x-backend-load");
@@ -249,7 +249,6 @@
 
 /// A backend as the sockets know it.
 pub struct Server {
-    id: BackendId,
     address: Cell<SocketAddr>,
     started: Cell<Option<Micros>>,
     ready: Cell<bool>,
@@ -258,7 +257,16 @@
     idle: RefCell<Vec<Idle>>,
 }
 
-/// All backends that discovery has named, and the connections to them.
+impl Server {
+    /// It is gone: nothing new goes there, and no connection is kept, not even those that are still in use.
+    fn depart(&self) {
+        self.ready.set(false);
+        self.life.set(self.life.get() + 1);
+        self.idle.borrow_mut().clear();
+    }
+}
+
+/// All backends that discovery lists, and the connections to them.
 pub struct Fleet {
     servers: RefCell<FxHashMap<BackendId, Rc<Server>>>,
     sockets: Rc<Cell<usize>>,
@@ -295,9 +303,12 @@
     /// Takes what discovery says of one backend.
     pub fn update(&self, id: BackendId, address: SocketAddr, readiness: Readiness, started: Option<Micros>) {
         let mut servers = self.servers.borrow_mut();
+        if readiness == Readiness::Gone {
+            // Attempts that are out there hold it until they end; a backend of its name later is another one.
+            return servers.remove(&id).iter().for_each(|server| server.depart());
+        }
         let server = servers.entry(id).or_insert_with(|| {
             Rc::new(Server {
-                id,
                 address: Cell::new(address),
                 started: Cell::new(started),
                 ready: Cell::new(false),
@@ -311,17 +322,17 @@
             server.life.set(server.life.get() + 1);
             server.idle.borrow_mut().clear();
         }
-        if readiness == Readiness::Gone {
-            server.idle.borrow_mut().clear();
-        }
     }
 
     /// A complete list has come: what it does not name is gone.
     pub fn retain(&self, listed: impl Fn(BackendId) -> bool) {
-        for server in self.servers.borrow().values().filter(|s| !listed(s.id)) {
-            server.ready.set(false);
-            server.idle.borrow_mut().clear();
-        }
+        self.servers.borrow_mut().retain(|&id, server| {
+            let keep = listed(id);
+            if !keep {
+                server.depart();
+            }
+            keep
+        });
     }
 
     /// Closes the idle connections to a backend.
@@ -331,7 +342,7 @@
         }
     }
 
-    /// The backend of that number, if discovery has ever named it.
+    /// The backend of that number, if discovery lists it.
     #[must_use]
     pub fn server(&self, id: BackendId) -> Option<Rc<Server>> {
         self.servers.borrow().get(&id).cloned()
@@ -374,23 +385,25 @@
         true
     }
 
-    async fn dial(&self, server: &Server, until: Instant) -> Option<Conn> {
+    async fn dial(&self, server: &Server, until: Instant) -> Result<Conn, NoConn> {
         if !self.make_room() {
-            return None;
+            return Err(NoConn::Own);
         }
         let counted = Counted::new(&self.sockets);
         let life = server.life.get();
         let until = until.min(Instant::now() + self.dial_timeout);
-        let stream = timeout_at(until, TcpStream::connect(server.address.get())).await.ok()?.ok()?;
-        stream.set_nodelay(true).ok()?;
+        let connecting = timeout_at(until, TcpStream::connect(server.address.get())).await;
+        let stream = connecting.map_err(|_| NoConn::Backends)??;
+        stream.set_nodelay(true)?;
         let wire = Rc::new(Wire { stream, written: Cell::new(0) });
         let io = TokioIo::new(WireIo(Rc::clone(&wire)));
-        let (sender, connection) = http1::Builder::new().max_buf_size(HEAD_CAP).handshake(io).await.ok()?;
+        let handshake = http1::Builder::new().max_buf_size(HEAD_CAP).handshake(io).await;
+        let (sender, connection) = handshake.map_err(|_| NoConn::Backends)?;
         let task = tokio::task::spawn_local(async move {
             // How it ended shows in the exchange that was on it.
             let _ = connection.await;
         });
-        Some(Conn { sender, wire, task, life, _counted: counted })
+        Ok(Conn { sender, wire, task, life, _counted: counted })
     }
 
     /// Keeps a connection for the next attempt once it is free again.
@@ -413,13 +426,16 @@
         mut cancel: oneshot::Receiver<()>,
     ) -> Ended {
         let conn = match self.take_idle(&server) {
-            Some(conn) => Some(conn),
+            Some(conn) => Ok(conn),
             None => tokio::select! {
                 conn = self.dial(&server, give_up) => conn,
                 Ok(()) = &mut cancel => return Outcome::Moot.into(),
             },
         };
-        let Some(mut conn) = conn else { return Outcome::ConnectFailed.into() };
+        let mut conn = match conn {
+            Ok(conn) => conn,
+            Err(no_conn) => return no_conn.outcome().into(),
+        };
         // Rule 3: while the connection came up, the backend may have begun to drain or have been replaced.
         if !server.ready.get() || conn.life != server.life.get() {
             return Outcome::Moot.into();
@@ -486,10 +502,13 @@
     pub async fn probe(self: Rc<Self>, server: Rc<Server>, deep: bool) -> Ended {
         let until = Instant::now() + self.dial_timeout + PROBE_TIMEOUT;
         let conn = match self.take_idle(&server) {
-            Some(conn) => Some(conn),
+            Some(conn) => Ok(conn),
             None => self.dial(&server, until).await,
         };
-        let Some(mut conn) = conn else { return Outcome::ConnectFailed.into() };
+        let mut conn = match conn {
+            Ok(conn) => conn,
+            Err(no_conn) => return no_conn.outcome().into(),
+        };
         let target = Uri::from_static(if deep { "/metrics/load" } else { "/alive" });
         let call = Call { method: Method::GET, target, headers: HeaderMap::new(), body: Bytes::new() };
         let request = request(&call, &server, PROBE_TIMEOUT);
@@ -511,6 +530,34 @@
     }
 }
 
+/// Whose fault it is that there is no connection.
+enum NoConn {
+    Backends,
+    /// This proxy is out of descriptors, ports or memory. That is told of no backend: healthy ones would be
+    /// ejected for it.
+    Own,
+}
+
+impl NoConn {
+    fn outcome(&self) -> Outcome {
+        match self {
+            Self::Backends => Outcome::ConnectFailed,
+            Self::Own => Outcome::Moot,
+        }
+    }
+}
+
+impl From<io::Error> for NoConn {
+    fn from(error: io::Error) -> Self {
+        use io::ErrorKind::*;
+        match error.kind() {
+            ConnectionRefused | ConnectionReset | ConnectionAborted | TimedOut | NotConnected
+            | HostUnreachable | NetworkUnreachable => Self::Backends,
+            _ => Self::Own,
+        }
+    }
+}
+
 struct Reply {
     status: StatusCode,
     headers: HeaderMap,
@@ -604,3 +651,23 @@
         request.headers().iter().map(|(name, value)| name.as_str().len() + value.len() + ": \r\n".len());
     (line + fields.sum::<usize>() + "\r\n".len() + body) as u64
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn backends_that_are_gone_are_forgotten() {
+        let fleet = Fleet::new(10, 1, 1, 1, Vec::new());
+        let address = SocketAddr::from(([127, 0, 0, 1], 9));
+        for id in 0..100 {
+            fleet.update(id, address, Readiness::Ready, None);
+            if id % 2 == 0 {
+                fleet.update(id, address, Readiness::Gone, None);
+            } else {
+                fleet.retain(|listed| listed > id);
+            }
+        }
+        assert_eq!(fleet.servers.borrow().len(), 0);
+    }
+}
--- a/src/proxy/clients.rs
+++ b/src/proxy/clients.rs
@@ -8,14 +8,14 @@
 use crate::api::{Effect, Micros, RequestId, Settings};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use rustc_hash::{FxHashMap, FxHasher};
-use std::cell::Cell;
+use rustc_hash::{FxHashMap, FxHashSet, FxHasher};
+use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
 use std::future::Future;
 use std::hash::Hasher;
@@ -25,11 +25,14 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, oneshot, watch};
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 
-/// How long a client may take to begin and finish a request's head; also how long it may stay idle.
-const HEAD_TIMEOUT: Duration = Duration::from_secs(60);
-const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// How long a client may take for a request, its body too. For the first one on a connection this counts from
+/// connecting, for a later one's head from the last answer, so it is also how long a client may stay idle: silence
+/// and endless requests hold a descriptor no longer.
+const REQUEST_TIME: Duration = Duration::from_millis(2_500);
+/// A body has this long at the least, however late its head came.
+const BODY_LEAST: Duration = Duration::from_millis(300);
 /// How long a closing connection is read on, and how much of it, so that the kernel does not answer late
 /// bytes with a reset that destroys an answer on its way.
 const LINGER: Duration = Duration::from_millis(500);
@@ -38,7 +41,7 @@
 const SHED_PART: usize = 8;
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
 /// The largest head of a request.
-const HEAD_CAP: usize = 32 * 1024;
+pub(super) const HEAD_CAP: usize = 16 * 1024;
 /// A time left beyond this makes no sense.
 const MOST_TIME_LEFT_MS: u64 = 3_600_000;
 
@@ -47,6 +50,8 @@
 const ACCOUNT: HeaderName = HeaderName::from_static("x-account");
 const TIME_LEFT: HeaderName = HeaderName::from_static("x-time-left-ms");
 const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
+/// The headers that decide what a request is.
+const ONCE: [HeaderName; 5] = [CORRELATION_ID, SERVICE_CLASS, ACCOUNT, TIME_LEFT, IDEMPOTENCY_KEY];
 const REPEAT: HeaderName = HeaderName::from_static("x-repeat");
 const WEIGHT_HINT: HeaderName = HeaderName::from_static("x-weight-hint");
 
@@ -83,11 +88,15 @@
     /// Those that were asked and are not closed yet.
     shedding: Cell<usize>,
     accepted_at: Cell<Instant>,
+    /// The ids of the requests that have no answer yet.
+    ids: RefCell<FxHashSet<HeaderValue>>,
 }
 
 /// A request that is answered here because the module can't be asked about it.
 struct Rejected(StatusCode, &'static str);
 
+const TOO_LARGE: Rejected = Rejected(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large\n");
+
 impl Clients {
     /// No connections yet. `held` tells whether a list of backends is held, `most` how many connections may be
     /// open at a time.
@@ -120,6 +129,7 @@
             shed: Notify::new(),
             shedding: Cell::new(0),
             accepted_at: Cell::new(Instant::now()),
+            ids: RefCell::default(),
         })
     }
 
@@ -169,13 +179,15 @@
     async fn connection(self: Rc<Self>, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         let clients = Rc::clone(&self);
+        let connected = Cell::new(Some(Instant::now()));
         let service = service_fn(move |request| -> Pin<Box<dyn Future<Output = _>>> {
-            let clients = Rc::clone(&clients);
-            Box::pin(async move { Ok::<_, Infallible>(clients.respond(request).await) })
+            let (clients, now) = (Rc::clone(&clients), Instant::now());
+            let late = (connected.take().unwrap_or(now) + REQUEST_TIME).max(now + BODY_LEAST);
+            Box::pin(async move { Ok::<_, Infallible>(clients.respond(request, late).await) })
         });
         let mut conn = http1::Builder::new()
             .timer(TokioTimer::new())
-            .header_read_timeout(HEAD_TIMEOUT)
+            .header_read_timeout(REQUEST_TIME)
             .max_buf_size(HEAD_CAP)
             .serve_connection(TokioIo::new(stream), service);
         let mut phase = self.phase.clone();
@@ -207,24 +219,25 @@
         self.freed.notify_waiters();
     }
 
-    async fn respond(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    /// Answers a request whose body has to be here by `late`.
+    async fn respond(&self, request: Request<Incoming>, late: Instant) -> Response<Full<Bytes>> {
         let arrived = self.clock.now();
         let mut response = if request.uri().path() == "/up" {
             self.up()
         } else {
-            match self.inbound(request, arrived).await {
+            let answered = match self.inbound(request, arrived, late).await {
                 Ok(inbound) => self.ask(inbound).await,
-                Err(Rejected(status, why)) => {
-                    let mut response = plain(status, why);
-                    if status == StatusCode::METHOD_NOT_ALLOWED {
-                        response.headers_mut().insert(header::ALLOW, HeaderValue::from_static("GET, POST"));
-                    }
-                    if status == StatusCode::PAYLOAD_TOO_LARGE || status == StatusCode::REQUEST_TIMEOUT {
-                        close(&mut response);
-                    }
-                    response
+                Err(rejected) => Err(rejected),
+            };
+            answered.unwrap_or_else(|Rejected(status, why)| {
+                let mut response = plain(status, why);
+                if status == StatusCode::METHOD_NOT_ALLOWED {
+                    response.headers_mut().insert(header::ALLOW, HeaderValue::from_static("GET, POST"));
                 }
-            }
+                // What follows a request that makes no sense may be a part of it.
+                close(&mut response);
+                response
+            })
         };
         // Close to the cap, connections are given back after each answer.
         if *self.phase.borrow() != Phase::Running || self.open.get() * 8 >= self.most * 7 {
@@ -241,13 +254,17 @@
         }
     }
 
-    async fn ask(&self, inbound: Inbound) -> Response<Full<Bytes>> {
+    async fn ask(&self, inbound: Inbound) -> Result<Response<Full<Bytes>>, Rejected> {
+        // Rule 2: passed on, a second request of the same id would be a second copy of the first.
+        let Some(_id) = OpenId::claim(&self.ids, &inbound.call.headers) else {
+            return Err(Rejected(StatusCode::CONFLICT, "a request of this id is open\n"));
+        };
         let (sender, answer) = oneshot::channel();
         let guard = Guard { handle: &self.handle, request: inbound.request.id, answered: false };
         self.handle.tell(Message::Request(Box::new(inbound), sender));
         let answer = answer.await;
         guard.answered();
-        match answer {
+        Ok(match answer {
             Ok(Answer::Served(served)) => {
                 let mut response = Response::new(Full::new(served.body));
                 if let Some(content_type) = served.content_type {
@@ -257,13 +274,30 @@
             }
             Ok(Answer::Refused { retry_after }) => refusal(retry_after),
             Ok(Answer::Failed) | Err(_) => plain(StatusCode::BAD_GATEWAY, "failed\n"),
-        }
+        })
     }
 
-    async fn inbound(&self, request: Request<Incoming>, arrived: Micros) -> Result<Inbound, Rejected> {
+    async fn inbound(
+        &self,
+        request: Request<Incoming>,
+        arrived: Micros,
+        late: Instant,
+    ) -> Result<Inbound, Rejected> {
         let (head, body) = request.into_parts();
         let bad = |why| Rejected(StatusCode::BAD_REQUEST, why);
         let text = |name| head.headers.get(name).and_then(|v: &HeaderValue| v.to_str().ok());
+        // Rule 2: a length beside it may hide a further request in the body, and hyper has dropped that length
+        // by now. Clients of this protocol tell the length.
+        if head.headers.contains_key(header::TRANSFER_ENCODING) {
+            return Err(Rejected(StatusCode::LENGTH_REQUIRED, "Content-Length is required\n"));
+        }
+        if body.size_hint().lower() > BODY_CAP as u64 {
+            return Err(TOO_LARGE);
+        }
+        // Whoever reads the other one of two takes the request for something else.
+        if ONCE.iter().any(|name| head.headers.get_all(name).iter().nth(1).is_some()) {
+            return Err(bad("a header comes twice\n"));
+        }
         let in_path = head.uri.path().split('/').nth(1).unwrap_or_default();
         let (class, facts) = self.classes.get(in_path).ok_or(bad("unknown class\n"))?;
         if head.headers.contains_key(SERVICE_CLASS) && text(SERVICE_CLASS) != Some(in_path) {
@@ -283,7 +317,9 @@
             _ if self.tenants.is_empty() => 0,
             account => *account.and_then(|a| self.tenants.get(a)).ok_or(bad("unknown account\n"))?,
         };
-        let time_left = text(TIME_LEFT).and_then(|v| v.trim().parse::<u64>().ok());
+        // The type's own parser would take a sign.
+        let digits = text(TIME_LEFT).filter(|v| v.bytes().all(|b| b.is_ascii_digit()));
+        let time_left = digits.and_then(|v| v.parse::<u64>().ok());
         let time_left = time_left.filter(|&ms| ms <= MOST_TIME_LEFT_MS);
         let patience = time_left.ok_or(bad("X-Time-Left-Ms is missing or makes no sense\n"))? * 1_000;
         let request = crate::api::Request {
@@ -295,7 +331,7 @@
             work: text(WEIGHT_HINT).and_then(|v| v.trim().parse().ok()),
             repeat: text(REPEAT) == Some("1"),
         };
-        let body = collect(body).await?;
+        let body = collect(body, late).await?;
         let call = Call { method: head.method, target: head.uri, headers: forwarded(head.headers), body };
         Ok(Inbound { request, arrived, call })
     }
@@ -323,12 +359,32 @@
     }
 }
 
-async fn collect(body: Incoming) -> Result<Bytes, Rejected> {
-    let collected = timeout(BODY_TIMEOUT, Limited::new(body, BODY_CAP).collect()).await;
+/// The id of an open request; free again when this is dropped.
+struct OpenId<'a> {
+    ids: &'a RefCell<FxHashSet<HeaderValue>>,
+    id: HeaderValue,
+}
+
+impl<'a> OpenId<'a> {
+    fn claim(ids: &'a RefCell<FxHashSet<HeaderValue>>, headers: &HeaderMap) -> Option<Self> {
+        let id = headers.get(CORRELATION_ID)?.clone();
+        let is_new = ids.borrow_mut().insert(id.clone());
+        is_new.then(|| Self { ids, id })
+    }
+}
+
+impl Drop for OpenId<'_> {
+    fn drop(&mut self) {
+        self.ids.borrow_mut().remove(&self.id);
+    }
+}
+
+async fn collect(body: Incoming, late: Instant) -> Result<Bytes, Rejected> {
+    let collected = timeout_at(late, Limited::new(body, BODY_CAP).collect()).await;
     let collected = collected.map_err(|_| Rejected(StatusCode::REQUEST_TIMEOUT, "the body is late\n"))?;
     let collected = collected.map_err(|error| {
         if error.is::<LengthLimitError>() {
-            Rejected(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large\n")
+            TOO_LARGE
         } else {
             Rejected(StatusCode::BAD_REQUEST, "the body is broken\n")
         }
--- a/src/proxy/config.rs
+++ b/src/proxy/config.rs
@@ -1,5 +1,6 @@
 //! What the proxy is told at its start: the file that `EDGE_CONFIG` names, and the environment.
 
+use super::{BODY_CAP, backends, clients};
 use crate::api::{Micros, Settings, SettingsError};
 use crate::wire::parse_settings;
 use serde::Deserialize;
@@ -171,9 +172,7 @@
         let settings = serde_json::to_vec(&raw.settings).map_err(ConfigError::Malformed)?;
         let more: RawNames = serde_json::from_value(raw.settings).map_err(ConfigError::Malformed)?;
         let named = |list: Vec<Named>| list.into_iter().map(|n| n.name).collect();
-        let sockets = raw.limits.sockets.unwrap_or(DEFAULT_SOCKETS).max(2 * RESERVED_SOCKETS);
-        let free = sockets - RESERVED_SOCKETS;
-        let memory = raw.limits.memory_mb.unwrap_or(DEFAULT_MEMORY_MB) << 20;
+        let (client_sockets, backend_sockets, large_answers) = shares(&raw.limits);
         Ok(Self {
             name: raw.name.or_else(|| variable("EDGE_NAME")).unwrap_or_default(),
             listen: address("listen", raw.listen, "EDGE_LISTEN")?,
@@ -189,16 +188,44 @@
                 report: more.load_report.fields,
             },
             dial_timeout: more.permissions.dial_timeout_us.filter(|&t| t > 0).unwrap_or(DEFAULT_DIAL),
-            // A client's connection may carry a request that waits for a backend's, so it gets the larger part.
-            client_sockets: free * 3 / 5,
-            backend_sockets: free - free * 3 / 5,
-            large_answers: memory / 5,
+            client_sockets,
+            backend_sockets,
+            large_answers,
         })
     }
 }
 
+/// Client connections, backend connections, and bytes of large answers that there may be at a time. What all of
+/// them may hold has to fit into the memory: two fifths of it for the heads and bodies that came from clients, a
+/// fifth for those from backends, a fifth for large answers.
+fn shares(limits: &RawLimits) -> (usize, usize, usize) {
+    let free = limits.sockets.unwrap_or(DEFAULT_SOCKETS).max(2 * RESERVED_SOCKETS) - RESERVED_SOCKETS;
+    let fifth = limits.memory_mb.unwrap_or(DEFAULT_MEMORY_MB).saturating_mul(1 << 20) / 5;
+    // A client's connection may carry a request that waits for a backend's, so it gets the larger part.
+    let clients = (free * 3 / 5).min(2 * fifth / (clients::HEAD_CAP + BODY_CAP));
+    let backends = (free - free * 3 / 5).min(fifth / (backends::HEAD_CAP + BODY_CAP));
+    (clients.max(1), backends.max(1), fifth)
+}
+
 /// The seed comes as hexadecimal text; a number is taken as well.
 fn seed(value: &Value) -> u64 {
     let text = value.as_str().and_then(|s| u64::from_str_radix(s, 16).ok());
     text.or_else(|| value.as_u64()).unwrap_or_else(|| fastrand::Rng::new().u64(..))
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn what_all_connections_may_hold_fits_into_the_memory() {
+        for (sockets, memory_mb) in [(256, 32), (1_024, 32), (1_024, 192), (65_536, 64)] {
+            let limits = RawLimits { sockets: Some(sockets), memory_mb: Some(memory_mb) };
+            let (clients, backends, large) = shares(&limits);
+            let held =
+                clients * (clients::HEAD_CAP + BODY_CAP) + backends * (backends::HEAD_CAP + BODY_CAP) + large;
+            assert!(held <= (memory_mb << 20) / 5 * 4, "{held} bytes with {sockets} and {memory_mb}");
+            assert!(clients + backends < sockets);
+        }
+    }
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -30,7 +30,11 @@
     pub(crate) zone: u16,
     pub(crate) kind: u8,
     pub(crate) cell: u16,
+    /// Discovery lists it; one that is gone is forgotten once no request names it.
+    pub(crate) listed: bool,
     pub(crate) ready: bool,
+    /// The attempts of open requests that name its place.
+    pub(crate) held: u32,
     pub(crate) started: Option<Micros>,
     pub(crate) in_flight: u32,
     pub(crate) limit: f64,
@@ -55,6 +59,74 @@
     pub(crate) rested: Vec<Micros>,
 }
 
+/// The servers that are listed or named by an open request, each at a place that stays the same. Where ids are
+/// ever new, those that are gone must not pile up; a place is used again only when no attempt names it, for the
+/// attempt's outcome would be booked to the newcomer.
+#[derive(Default)]
+pub(crate) struct Servers {
+    places: Vec<Server>,
+    free: Vec<usize>,
+    by_id: FxHashMap<BackendId, usize>,
+}
+
+impl Servers {
+    pub(crate) fn find(&self, id: BackendId) -> Option<usize> {
+        self.by_id.get(&id).copied()
+    }
+
+    pub(crate) fn insert(&mut self, server: Server) -> usize {
+        let place = self.free.pop().unwrap_or(self.places.len());
+        self.by_id.insert(server.id, place);
+        match self.places.get_mut(place) {
+            Some(old) => *old = server,
+            None => self.places.push(server),
+        }
+        place
+    }
+
+    /// All places; a free one holds a server that is neither listed nor ready.
+    pub(crate) fn len(&self) -> usize {
+        self.places.len()
+    }
+
+    pub(crate) fn unlist_all(&mut self) {
+        self.places.iter_mut().for_each(|s| (s.listed, s.ready) = (false, false));
+    }
+
+    /// An open request ends and names the place no longer.
+    pub(crate) fn let_go(&mut self, place: usize) {
+        self.places[place].held -= 1;
+        self.forget_if_gone(place);
+    }
+
+    /// The list has changed.
+    pub(crate) fn forget_gone(&mut self) {
+        (0..self.places.len()).for_each(|place| self.forget_if_gone(place));
+    }
+
+    fn forget_if_gone(&mut self, place: usize) {
+        let server = &self.places[place];
+        if !server.listed && server.held == 0 && self.find(server.id) == Some(place) {
+            self.by_id.remove(&server.id);
+            self.places[place] = Server::default();
+            self.free.push(place);
+        }
+    }
+}
+
+impl std::ops::Index<usize> for Servers {
+    type Output = Server;
+    fn index(&self, place: usize) -> &Server {
+        &self.places[place]
+    }
+}
+
+impl std::ops::IndexMut<usize> for Servers {
+    fn index_mut(&mut self, place: usize) -> &mut Server {
+        &mut self.places[place]
+    }
+}
+
 #[derive(Clone, Copy, PartialEq)]
 pub(crate) enum AttemptState {
     Out,
@@ -195,3 +267,38 @@
         &mut self.places[place]
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn listed(id: BackendId) -> Server {
+        Server { id, listed: true, ..Server::default() }
+    }
+
+    #[test]
+    fn ever_new_servers_take_the_places_of_those_that_are_gone() {
+        let mut servers = Servers::default();
+        for id in 0..1_000 {
+            servers.unlist_all();
+            servers.insert(listed(id));
+            servers.forget_gone();
+        }
+        assert!(servers.len() <= 2, "{} places", servers.len());
+        assert_eq!(servers.by_id.len(), 1);
+    }
+
+    #[test]
+    fn a_place_that_a_request_names_is_not_used_again() {
+        let mut servers = Servers::default();
+        let first = servers.insert(listed(1));
+        servers[first].held = 2;
+        servers.unlist_all();
+        servers.forget_gone();
+        servers.let_go(first);
+        assert_ne!(servers.insert(listed(2)), first, "one attempt still names it");
+        servers.let_go(first);
+        assert_eq!(servers.find(1), None);
+        assert_eq!(servers.insert(listed(3)), first);
+    }
+}
--- a/tests/proxy/main.rs
+++ b/tests/proxy/main.rs
@@ -83,15 +83,94 @@
         (good.replace("Idempotency-Key: 7\r\n", ""), 400),
         (good.replace("POST", "GET"), 405),
         (request("submit", "8", &"x".repeat(65 * 1024)), 413),
+        // Numbers that others may read otherwise, and headers of which others may read the other one.
+        (good.replace("15000", "+480"), 400),
+        (good.replace("15000", " "), 400),
+        (good.replace("15000", "480, 15000"), 400),
+        (good.replace("X-Time-Left-Ms: 15000\r\n", "X-Time-Left-Ms: 480\r\nX-Time-Left-Ms: 15000\r\n"), 400),
+        (good.replace("X-Correlation-Id: 7\r\n", "X-Correlation-Id: 7\r\nX-Correlation-Id: 8\r\n"), 400),
+        (good.replace("Idempotency-Key: 7\r\n", "Idempotency-Key: 7\r\nIdempotency-Key: 7\r\n"), 400),
+        (good.replace("Content-Length: 1", "Content-Length: +1"), 400),
+        (good.replace("Content-Length: 1", "Content-Length: -1"), 400),
+        (good.replace("Content-Length: 1", "Content-Length: 1\r\nContent-Length: 2"), 400),
+        (good.replace("Content-Length: 1", "Content-Length: 99999999999999999999999"), 400),
+        // No byte of such a body has to come for the answer.
+        (good.replace("Content-Length: 1\r\n\r\nx", "Content-Length: 60000000\r\n\r\n"), 413),
     ];
     for (text, status) in cases {
         let line = text.lines().next().unwrap_or_default().to_owned();
-        assert_eq!(proxy.client().ask(&text).status(), status, "{line}");
+        let mut client = proxy.client();
+        assert_eq!(client.ask(&text).status(), status, "{line}");
+        assert!(client.ends_cleanly(), "what follows a malformed request may be a part of it: {line}");
     }
     assert_eq!(backend.rest(), 0);
     assert_eq!(proxy.client().ask(&good).status(), 200);
 }
 
+/// Whoever goes by the length finds another request in the body of the first.
+#[test]
+fn a_request_with_a_length_and_an_encoding_is_turned_away_with_all_that_follows() {
+    let discovery = Discovery::start();
+    let backend = Backend::start(|_| ok("fine"));
+    let proxy = Proxy::start("smuggled", &discovery, &[entry("s-1", backend.address, "active", 0)]);
+    let hidden = request("charge", "hidden", "x");
+    let body = format!("0\r\n\r\n{hidden}");
+    let length = format!("Content-Length: {}\r\n", body.len());
+    let encoding = "Transfer-Encoding: chunked\r\n";
+    for fields in [format!("{length}{encoding}"), format!("{encoding}{length}"), encoding.to_owned()] {
+        let mut client = proxy.client();
+        let head = request("charge", "outer", "").replace("Content-Length: 0\r\n", &fields);
+        let got = client.ask(&format!("{head}{body}"));
+        assert!((400..500).contains(&got.status()), "{}", got.head);
+        assert!(client.ends_cleanly());
+    }
+    assert_eq!(proxy.client().ask(UP).status(), 200);
+    assert_eq!(backend.rest(), 0);
+}
+
+#[test]
+fn a_second_request_with_the_id_of_an_open_one_is_turned_away() {
+    let discovery = Discovery::start();
+    let (release, word) = channel();
+    let mut word = Some(word);
+    let backend = Backend::start(move |_| match word.take() {
+        Some(word) => Reply::After(word, Box::new(ok("first"))),
+        None => ok("later"),
+    });
+    let proxy = Proxy::start("same-id", &discovery, &[entry("s-1", backend.address, "active", 0)]);
+    let mut first = proxy.client();
+    first.send(&request("charge", "1", "x"));
+    backend.next();
+    assert_eq!(proxy.client().ask(&request("charge", "1", "x")).status(), 409);
+    assert_eq!(backend.rest(), 0);
+    release.send(()).expect("the backend waits");
+    assert_eq!(first.receive().body, b"first");
+    assert_eq!(proxy.client().ask(&request("charge", "1", "x")).body, b"later", "the id is free again");
+}
+
+/// Clients that are owed an end within 3 s. The span is checked loosely, so that a busy machine changes nothing.
+#[test]
+fn silence_and_half_a_request_end_with_an_error_or_a_close() {
+    let discovery = Discovery::start();
+    let proxy = Proxy::start("half", &discovery, &[]);
+    let good = request("charge", "1", "body");
+    let began = std::time::Instant::now();
+    let halves = ["", "P", &good[..40], &good[..good.len() - 2]].map(|half| {
+        let mut client = proxy.client();
+        client.send(half);
+        client
+    });
+    let mut asked = proxy.client();
+    assert_eq!(asked.ask(UP).status(), 200);
+    for mut client in halves {
+        let mut rest = Vec::new();
+        client.reader.read_to_end(&mut rest).expect("no reset");
+        assert!(rest.is_empty() || rest.starts_with(b"HTTP/1.1 408 "), "{}", String::from_utf8_lossy(&rest));
+    }
+    assert!(asked.ends_cleanly(), "a connection that is kept and not used");
+    assert!(began.elapsed() < PATIENCE / 3, "{:?}", began.elapsed());
+}
+
 #[test]
 fn a_body_at_the_cap_passes() {
     let discovery = Discovery::start();
@@ -334,6 +413,37 @@
     assert_ne!(backend.next().connection, second);
 }
 
+/// A connection that was in use while its backend left belongs to a process that is gone.
+#[test]
+fn connections_of_a_backend_that_is_gone_are_never_used_again() {
+    for complete in [false, true] {
+        let discovery = Discovery::start();
+        let (release, word) = channel();
+        let mut word = Some(word);
+        let backend = Backend::start(move |_| match word.take() {
+            Some(word) => Reply::After(word, Box::new(ok("of the old one"))),
+            None => ok("of the new one"),
+        });
+        let here = |id: &str| entry(id, backend.address, "active", 0);
+        let proxy = Proxy::start(&format!("gone-{complete}"), &discovery, &[here("s-1")]);
+        let mut client = proxy.client();
+        client.send(&request("charge", "1", "x"));
+        assert_eq!(backend.next().connection, 0);
+        let left = entry("s-1", backend.address, "left", 0);
+        discovery.post(complete, if complete { &[] } else { std::slice::from_ref(&left) });
+        discovery.post(false, &[here("s-1")]);
+        release.send(()).expect("the backend waits");
+        assert_eq!(client.receive().body, b"of the old one");
+        for id in ["2", "3"] {
+            assert_eq!(client.ask(&request("charge", id, "x")).body, b"of the new one");
+            assert_eq!(backend.next().connection, 1);
+        }
+        discovery.post(true, &[here("s-2")]);
+        assert_eq!(client.ask(&request("charge", "4", "x")).status(), 200);
+        assert_eq!(backend.next().connection, 2, "another backend at the same address");
+    }
+}
+
 #[test]
 fn odd_entries_of_a_list_are_passed_over() {
     let discovery = Discovery::start();
@@ -381,6 +491,31 @@
     }
 }
 
+/// Each backend takes one request and keeps it; there are more backends than descriptors for them.
+#[test]
+fn a_shortage_of_descriptors_is_blamed_on_no_backend() {
+    let discovery = Discovery::start();
+    let backends: Vec<_> = (0..14).map(|_| Backend::start(|_| Reply::Hang)).collect();
+    let members: Vec<_> =
+        backends.iter().enumerate().map(|(i, b)| entry(&format!("s-{i}"), b.address, "active", 0)).collect();
+    let mut config = config("shortage", &discovery);
+    config["limits"]["sockets"] = 48.into();
+    let mut proxy = Proxy::start_with("shortage", config);
+    discovery.post(true, &members);
+    let clients: Vec<_> = (0..14)
+        .map(|i| {
+            let mut client = proxy.client();
+            client.send(&request("read", &format!("{i}"), "").replace("15000", "1000"));
+            client
+        })
+        .collect();
+    let statuses: Vec<_> = clients.into_iter().map(|mut client| client.receive().status()).collect();
+    assert!(statuses.contains(&503), "some find no descriptor: {statuses:?}");
+    proxy.terminate();
+    let log = proxy.rest_of_log();
+    assert!(!log.contains("ejected"), "{log}");
+}
+
 #[test]
 fn idle_clients_do_not_keep_others_out() {
     let discovery = Discovery::start();
--- a/tests/proxy/rig.rs
+++ b/tests/proxy/rig.rs
@@ -315,6 +315,13 @@
         }
     }
 
+    /// What it still logs until it ends.
+    pub fn rest_of_log(&mut self) -> String {
+        let mut text = String::new();
+        self.log.read_to_string(&mut text).expect("a log");
+        text
+    }
+
     pub fn wait(&mut self) -> ExitStatus {
         self.child.wait().expect("the proxy ends")
     }
