Give lost attempts up at a quarter of the aim, and take no latency sample of them

Limits traced: most servers that owe one answer are barred as silent, and limits fall from 3 to under 1 a server while answers take 15 ms. Ruled out: ejections (none to a few). Lines at fault: balancer.rs give_up_at() waited 24 times the mean (0.36 s here) although a quarter of the aim bars the server; observe() took 3 x Lmax as the sample of each lost attempt. Mend: where a quarter of the aim is five means or more, an attempt is given up then, and that time-out is no sample (as for a spoilt answer); elsewhere 24 means, with its sample, as before.

--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -60,10 +60,11 @@
 /// An attempt is overdue at this multiple of its class's mean latency, between these parts of its aim.
 const OVERDUE_OVER_MEAN: f64 = 4.0;
 const OVERDUE_OVER_AIM: (f64, f64) = (0.25, 0.8);
-/// An attempt that may be repeated is given up at this multiple of its class's mean latency, and after this
-/// part of its aim at the earliest: no work takes so long, and pauses are waited for.
+/// An attempt that may be repeated is given up at this part of its aim where that is at least `LOST_LEAST`
+/// times its class's mean latency; elsewhere at `LOST_OVER_MEAN` times the mean.
+const LOST_OVER_AIM: f64 = 0.25;
+const LOST_LEAST: f64 = 5.0;
 const LOST_OVER_MEAN: f64 = 24.0;
-const LOST_OVER_AIM: f64 = 0.4;
 /// Part of the requests that may get a further attempt after one that may have run, and the burst.
 const RETRY_SHARE: f64 = 0.1;
 const RETRY_BURST: f64 = 10.0;
@@ -585,26 +586,29 @@
         server.in_flight += 1;
         self.in_flight += 1;
         server.window.filled |= i64::from(server.in_flight) * 4 >= server.slots(self.pool.spread) * 3;
-        let give_up_at = self.give_up_at(now, &self.open[slot]);
+        let (give_up_at, early) = self.give_up_at(now, &self.open[slot]);
         let open = &mut self.open[slot];
-        open.attempts.push(Attempt { server: index, sent_at: now, rested, state: AttemptState::Out });
+        let state = AttemptState::Out;
+        open.attempts.push(Attempt { server: index, sent_at: now, rested, early, state });
         self.servers[index].held += 1;
         let backend = self.servers[index].id;
         out.push(Action::Send { request: open.id, backend, give_up_at });
     }
 
-    /// When an attempt that starts now is given up. Departure: where work takes a small part of the time that
-    /// clients wait, an attempt without an answer long after its time is lost (a connection that fell silent,
-    /// say). Waited for to the deadline it would leave no time for another one, hold its slot, and make a
-    /// server that answers all else look silent.
-    fn give_up_at(&self, now: Micros, open: &Open) -> Micros {
+    /// When an attempt that starts now is given up, and whether that tells that it was lost. Departure:
+    /// where work takes a small part of the time that clients wait, an attempt without an answer long after
+    /// its time is lost (its connection fell silent, say). Waited for to the deadline it would leave no time
+    /// for another one, hold its slot, and make a server that answers all else look silent.
+    fn give_up_at(&self, now: Micros, open: &Open) -> (Micros, bool) {
         let class = &self.settings.classes[open.class];
         let last = open.attempts.len() + 1 >= usize::from(self.settings.permissions.max_attempts);
         if last || class.effect == Effect::Unsafe || self.retry_tokens < 1.0 {
-            return open.deadline;
+            return (open.deadline, false);
         }
-        let lost = (self.mean(open.class) * LOST_OVER_MEAN).max(class.aim as f64 * LOST_OVER_AIM);
-        open.deadline.min(now.saturating_add(lost as Micros))
+        let (mean, soon) = (self.mean(open.class), class.aim as f64 * LOST_OVER_AIM);
+        let early = mean * LOST_LEAST <= soon;
+        let lost = if early { soon } else { mean * LOST_OVER_MEAN };
+        (open.deadline.min(now.saturating_add(lost as Micros)), early)
     }
 
     /// How long the connection that the next attempt on a server takes has rested; 0 for a new one. The
@@ -736,8 +740,9 @@
         let target = f64::from(u8::from(failed));
         server.failures += (target - server.failures) * FAILURE_WEIGHT * weight;
         self.judge_health(now, index, failed, out);
-        // A spoilt answer says nothing of how crowded its server is: a few must not shrink the limits of all.
-        if end.outcome == Outcome::Spoilt {
+        // A spoilt answer, or one that was lost on the way, says nothing of how crowded its server is: a few
+        // must not shrink the limits of all.
+        if end.outcome == Outcome::Spoilt || (end.outcome == Outcome::Timeout && to.early) {
             return;
         }
         // Errors and lost connections say nothing of how crowded the servers of a kind are.
--- a/src/state.rs
+++ b/src/state.rs
@@ -140,6 +140,8 @@
     pub(crate) sent_at: Micros,
     /// How long its connection had rested.
     pub(crate) rested: Micros,
+    /// It is given up so late beside its work that it was lost then.
+    pub(crate) early: bool,
     pub(crate) state: AttemptState,
 }
 
