Split the program into a workspace of crates by concern

Need: one crate held everything, and clients, config, discovery and driver imported one another in a circle, so no other front could be built beside the HTTP/1 one. Nothing that decides was changed.

--- a/src/balancer.rs
+++ b/crates/decision/src/balancer.rs
@@ -628,7 +628,7 @@
         if number >= server.rested.len() {
             server.rested.push(now);
         }
-        let rested = if server.in_flight % multiplex == 0 { now - used_at } else { 0 };
+        let rested = if server.in_flight.is_multiple_of(multiplex) { now - used_at } else { 0 };
         if rested > MIN_REST && rested as f64 > trusted {
             server.rested.truncate(number + 1);
             out.push(Action::CloseIdle(server.id));
--- a/src/state.rs
+++ b/crates/decision/src/state.rs
@@ -59,9 +59,9 @@
     pub(crate) rested: Vec<Micros>,
 }
 
-/// The servers that are listed or named by an open request, each at a place that stays the same. Where ids are
-/// ever new, those that are gone must not pile up; a place is used again only when no attempt names it, for the
-/// attempt's outcome would be booked to the newcomer.
+/// The servers that are listed or named by an open request, each at a place that stays the same. Where ids
+/// are ever new, those that are gone must not pile up; a place is used again only when no attempt names it,
+/// for the attempt's outcome would be booked to the newcomer.
 #[derive(Default)]
 pub(crate) struct Servers {
     places: Vec<Server>,
@@ -271,36 +271,5 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    fn listed(id: BackendId) -> Server {
-        Server { id, listed: true, ..Server::default() }
-    }
-
-    #[test]
-    fn ever_new_servers_take_the_places_of_those_that_are_gone() {
-        let mut servers = Servers::default();
-        for id in 0..1_000 {
-            servers.unlist_all();
-            servers.insert(listed(id));
-            servers.forget_gone();
-        }
-        assert!(servers.len() <= 2, "{} places", servers.len());
-        assert_eq!(servers.by_id.len(), 1);
-    }
-
-    #[test]
-    fn a_place_that_a_request_names_is_not_used_again() {
-        let mut servers = Servers::default();
-        let first = servers.insert(listed(1));
-        servers[first].held = 2;
-        servers.unlist_all();
-        servers.forget_gone();
-        servers.let_go(first);
-        assert_ne!(servers.insert(listed(2)), first, "one attempt still names it");
-        servers.let_go(first);
-        assert_eq!(servers.find(1), None);
-        assert_eq!(servers.insert(listed(3)), first);
-    }
-}
+#[path = "state_tests.rs"]
+mod tests;
--- a/tests/module.rs
+++ b/crates/decision/tests/module.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::*;
-use haventrack::api::*;
+use haventrack_decision::api::*;
 
 fn one_zone(n: u32) -> Vec<Backend> {
     (0..n).map(|id| Backend { zone: 0, cell: 0, ..backend(id) }).collect()
--- a/tests/rules.rs
+++ b/crates/decision/tests/rules.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::*;
-use haventrack::api::*;
+use haventrack_decision::api::*;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 
--- a/src/proxy/backends.rs
+++ b/crates/proxy/src/backends.rs
@@ -3,9 +3,9 @@
 //! A request is written to a connection once and never again by this side: whether it may be repeated is the
 //! module's to say, and it can only say so if it knows whether the last byte went out (`Wire` counts).
 
-use super::{ANSWER_CAP, BODY_CAP};
-use crate::api::{BackendId, Micros, Outcome, Readiness};
+use crate::bounds::{ANSWER_CAP, ANSWER_HEAD_CAP, BODY_CAP};
 use bytes::Bytes;
+use haventrack_decision::api::{Backend, BackendId, Micros, Outcome, Readiness};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
@@ -39,13 +39,19 @@
 const SWEEP_EVERY: Duration = Duration::from_secs(1);
 /// How long a connection may take to become free again behind its answer.
 const SETTLE_TIMEOUT: Duration = Duration::from_secs(1);
-/// The largest head of an answer, and what a connection reads ahead: one that does not end must not take
-/// memory until the request's time is up.
-pub(super) const HEAD_CAP: usize = 16 * 1024;
 const TIME_LEFT: HeaderName = HeaderName::from_static("x-time-left-ms");
 const UNPROCESSED: HeaderName = HeaderName::from_static("x-unprocessed");
 const LOAD: HeaderName = HeaderName::from_static("x-backend-load");
 
+/// A backend as the list has it, in the module's numbers, and where it listens.
+#[derive(Clone, Copy, Debug)]
+pub struct Listed {
+    /// What the module is told.
+    pub backend: Backend,
+    /// Where it listens.
+    pub address: SocketAddr,
+}
+
 /// What goes to a backend, the same at every attempt.
 #[derive(Debug)]
 pub struct Call {
@@ -397,7 +403,7 @@
         stream.set_nodelay(true)?;
         let wire = Rc::new(Wire { stream, written: Cell::new(0) });
         let io = TokioIo::new(WireIo(Rc::clone(&wire)));
-        let handshake = http1::Builder::new().max_buf_size(HEAD_CAP).handshake(io).await;
+        let handshake = http1::Builder::new().max_buf_size(ANSWER_HEAD_CAP).handshake(io).await;
         let (sender, connection) = handshake.map_err(|_| NoConn::Backends)?;
         let task = tokio::task::spawn_local(async move {
             // How it ended shows in the exchange that was on it.
--- a/src/proxy/clients.rs
+++ b/crates/proxy/src/clients.rs
@@ -1,12 +1,13 @@
 //! The clients' side: the listener, requests in, answers out.
 
-use super::backends::Call;
-use super::clock::Clock;
-use super::config::Names;
-use super::driver::{Answer, Handle, Inbound, Message};
-use super::{BODY_CAP, log};
-use crate::api::{Effect, Micros, RequestId, Settings};
+use crate::backends::Call;
+use crate::bounds::{BODY_CAP, REQUEST_HEAD_CAP};
+use crate::clock::Clock;
+use crate::driver::{Answer, Handle, Inbound, Message};
+use crate::log::log;
+use crate::names::Names;
 use bytes::Bytes;
+use haventrack_decision::api::{Effect, Micros, RequestId, Settings};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
@@ -40,8 +41,6 @@
 /// At the cap, one in this many connections is asked to close.
 const SHED_PART: usize = 8;
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
-/// The largest head of a request.
-pub(super) const HEAD_CAP: usize = 16 * 1024;
 /// A time left beyond this makes no sense.
 const MOST_TIME_LEFT_MS: u64 = 3_600_000;
 
@@ -110,7 +109,7 @@
         phase: watch::Receiver<Phase>,
         most: usize,
     ) -> Rc<Self> {
-        let class = |c: &crate::api::Class| Class {
+        let class = |c: &haventrack_decision::api::Class| Class {
             deadline: c.deadline,
             keyed: matches!(c.effect, Effect::Keyed { .. }),
             method: if c.effect == Effect::Safe { Method::GET } else { Method::POST },
@@ -188,7 +187,7 @@
         let mut conn = http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(REQUEST_TIME)
-            .max_buf_size(HEAD_CAP)
+            .max_buf_size(REQUEST_HEAD_CAP)
             .serve_connection(TokioIo::new(stream), service);
         let mut phase = self.phase.clone();
         // A connection that comes while the others are being closed still gets its answer; that closes it.
@@ -322,7 +321,7 @@
         let time_left = digits.and_then(|v| v.parse::<u64>().ok());
         let time_left = time_left.filter(|&ms| ms <= MOST_TIME_LEFT_MS);
         let patience = time_left.ok_or(bad("X-Time-Left-Ms is missing or makes no sense\n"))? * 1_000;
-        let request = crate::api::Request {
+        let request = haventrack_decision::api::Request {
             id: self.handle.number(),
             class: *class,
             tenant,
--- a/src/proxy/config.rs
+++ b/crates/proxy/src/config.rs
@@ -1,8 +1,9 @@
 //! What the proxy is told at its start: the file that `EDGE_CONFIG` names, and the environment.
 
-use super::{BODY_CAP, backends, clients};
-use crate::api::{Micros, Settings, SettingsError};
-use crate::wire::parse_settings;
+use crate::bounds::{ANSWER_HEAD_CAP, BODY_CAP, REQUEST_HEAD_CAP};
+use crate::names::Names;
+use haventrack_decision::api::{Micros, Settings, SettingsError};
+use haventrack_settings::parse_settings;
 use serde::Deserialize;
 use serde_json::Value;
 use std::net::SocketAddr;
@@ -44,21 +45,6 @@
 
 impl std::error::Error for ConfigError {}
 
-/// The names that the protocol uses and the module knows by their position.
-#[derive(Clone, Debug, Default)]
-pub struct Names {
-    /// Request classes.
-    pub classes: Vec<String>,
-    /// Tenants; may be empty.
-    pub tenants: Vec<String>,
-    /// Zones.
-    pub zones: Vec<String>,
-    /// Kinds of machines.
-    pub kinds: Vec<String>,
-    /// Fields of a load report.
-    pub report: Vec<String>,
-}
-
 /// The configuration, checked.
 #[derive(Debug)]
 pub struct Config {
@@ -202,8 +188,8 @@
     let free = limits.sockets.unwrap_or(DEFAULT_SOCKETS).max(2 * RESERVED_SOCKETS) - RESERVED_SOCKETS;
     let fifth = limits.memory_mb.unwrap_or(DEFAULT_MEMORY_MB).saturating_mul(1 << 20) / 5;
     // A client's connection may carry a request that waits for a backend's, so it gets the larger part.
-    let clients = (free * 3 / 5).min(2 * fifth / (clients::HEAD_CAP + BODY_CAP));
-    let backends = (free - free * 3 / 5).min(fifth / (backends::HEAD_CAP + BODY_CAP));
+    let clients = (free * 3 / 5).min(2 * fifth / (REQUEST_HEAD_CAP + BODY_CAP));
+    let backends = (free - free * 3 / 5).min(fifth / (ANSWER_HEAD_CAP + BODY_CAP));
     (clients.max(1), backends.max(1), fifth)
 }
 
@@ -223,7 +209,7 @@
             let limits = RawLimits { sockets: Some(sockets), memory_mb: Some(memory_mb) };
             let (clients, backends, large) = shares(&limits);
             let held =
-                clients * (clients::HEAD_CAP + BODY_CAP) + backends * (backends::HEAD_CAP + BODY_CAP) + large;
+                clients * (REQUEST_HEAD_CAP + BODY_CAP) + backends * (ANSWER_HEAD_CAP + BODY_CAP) + large;
             assert!(held <= (memory_mb << 20) / 5 * 4, "{held} bytes with {sockets} and {memory_mb}");
             assert!(clients + backends < sockets);
         }
--- a/src/proxy/discovery.rs
+++ b/crates/proxy/src/discovery.rs
@@ -1,11 +1,12 @@
 //! Discovery: the whole list, then a watch for changes; names to numbers.
 
-use super::clock::Clock;
-use super::config::Names;
-use super::driver::{Handle, Message, Scope};
-use super::log;
-use crate::api::{Backend, BackendId, Readiness};
+use crate::backends::Listed;
+use crate::clock::Clock;
+use crate::driver::{Handle, Message, Scope};
+use crate::log::log;
+use crate::names::Names;
 use bytes::Bytes;
+use haventrack_decision::api::{Backend, BackendId, Readiness};
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::{HOST, HeaderValue};
@@ -36,15 +37,6 @@
 /// The largest list; thousands of entries fit in.
 const LIST_CAP: usize = 4 << 20;
 
-/// A backend as the list has it, in the module's numbers, and where it listens.
-#[derive(Clone, Copy, Debug)]
-pub struct Listed {
-    /// What the module is told.
-    pub backend: Backend,
-    /// Where it listens.
-    pub address: SocketAddr,
-}
-
 /// Why a call to discovery brought nothing.
 #[derive(Debug)]
 pub enum DiscoveryError {
--- a/src/proxy/driver.rs
+++ b/crates/proxy/src/driver.rs
@@ -1,14 +1,13 @@
 //! Owns the [`Balancer`]: feeds it events on one clock, carries out its actions, keeps its timers and the
 //! table of requests. All other tasks talk to it through a [`Handle`].
 
-use super::backends::{Call, Ended, Fleet, Served};
-use super::clock::Clock;
-use super::discovery::Listed;
-use super::log;
-use crate::api::{
+use crate::backends::{Call, Ended, Fleet, Listed, Served};
+use crate::clock::Clock;
+use crate::log::log;
+use haventrack_decision::api::{
     Action, Backend, BackendId, Event, Membership, Micros, Outcome, Request, RequestId, Settled,
 };
-use crate::balancer::Balancer;
+use haventrack_decision::balancer::Balancer;
 use rustc_hash::{FxHashMap, FxHashSet};
 use std::cell::Cell;
 use std::cmp::Reverse;
--- a/src/proxy/mod.rs
+++ b/crates/proxy/src/log.rs
@@ -1,22 +1,8 @@
-//! The proxy on real sockets. It carries out what the [`Balancer`](crate::balancer::Balancer) decides and
-//! reports what came of it; it never picks a backend, retries, holds or refuses by itself.
-
-pub mod backends;
-pub mod clients;
-pub mod clock;
-pub mod config;
-pub mod discovery;
-pub mod driver;
+//! Lines for the operators, bounded.
 
 use std::cell::Cell;
 use std::time::Instant;
 
-/// The largest body of a request, and of an answer as the protocol has it.
-pub const BODY_CAP: usize = 64 * 1024;
-
-/// The largest answer that is passed on. Backends were seen to send good ones of 400 KB.
-pub const ANSWER_CAP: usize = 1024 * 1024;
-
 /// The lines of the log in a second; no peer can make it grow faster.
 const LINES_A_SECOND: u32 = 100;
 
--- a/src/bin/haventrack-proxy.rs
+++ b/crates/proxy/src/main.rs
@@ -1,14 +1,14 @@
 //! One real proxy: start-up, signals, exit code.
 #![forbid(unsafe_code)]
 
-use haventrack::balancer::Balancer;
-use haventrack::proxy::backends::Fleet;
-use haventrack::proxy::clients::{Clients, Phase};
-use haventrack::proxy::clock::Clock;
-use haventrack::proxy::config::Config;
-use haventrack::proxy::discovery::{Translator, Watcher};
-use haventrack::proxy::driver::{Driver, Limits};
-use haventrack::proxy::log;
+use haventrack_decision::balancer::Balancer;
+use haventrack_proxy::backends::Fleet;
+use haventrack_proxy::clients::{Clients, Phase};
+use haventrack_proxy::clock::Clock;
+use haventrack_proxy::config::Config;
+use haventrack_proxy::discovery::{Translator, Watcher};
+use haventrack_proxy::driver::{Driver, Limits};
+use haventrack_proxy::log::log;
 use std::cell::Cell;
 use std::error::Error;
 use std::net::SocketAddr;
--- /dev/null
+++ b/crates/settings/tests/settings.rs
@@ -0,0 +1,48 @@
+//! The settings, read and refused by name.
+
+use haventrack_decision::api::*;
+use haventrack_settings::parse_settings;
+
+const SETTINGS: &str = r#"{"balancers": 5, "me": 2, "zone": 1, "failureDomains": ["a", "b"], "kinds": ["x"],
+  "membershipMode": "on_request", "surprise": {"more": 1}, "familyInfo": {"warmKeys": true}, "weights": "rough",
+  "classes": [{"aimUs": 500000, "deadlineUs": 900000, "effect": "dedup", "group": "cell", "keyTtlUs": 3000000,
+               "lateWorth": 0.5, "name": "n", "streamed": false, "worth": 2.0}],
+  "tenants": [{"name": "t", "allowancePerS": 12.5, "share": 1.0}], "overShareWorth": 0.1,
+  "penalties": {"crossZone": 0.12, "probe": 0.01}, "loadReport": {"fields": ["avg_ms", "active"], "via": "answers"},
+  "permissions": {"cancel": true, "maxAttempts": 5, "maxRetryAfterUs": 7, "probes": false, "retryAfter": true,
+                  "secondCopies": true},
+  "safety": {"askWithinUs": 10000000, "coldFrom": 0.33, "coldUs": 8199999, "fallMultiple": 3.0, "fallUs": 2000000}}"#;
+
+#[test]
+fn settings_are_read_and_unknown_keys_passed_over() {
+    let settings = parse_settings(SETTINGS.as_bytes()).expect("good settings");
+    assert!(settings.discovery_on_request && settings.warm_keys);
+    assert_eq!((settings.me, settings.balancers, settings.zone, settings.zones), (2, 5, 1, 2));
+    let keyed = Effect::Keyed { group: DedupGroup::Cell, ttl: 3_000_000 };
+    assert_eq!(settings.classes[0].effect, keyed);
+    assert_eq!(
+        (settings.report.active, settings.report.avg_ms, settings.report.waiting),
+        (Some(1), Some(0), None)
+    );
+    assert_eq!(settings.permissions.retry_after, Some(7));
+    assert_eq!(settings.tenants[0].allowance_per_s, 12.5);
+}
+
+#[test]
+fn settings_that_make_no_sense_are_refused_by_name() {
+    let swaps = [
+        (r#""balancers": 5"#, r#""balancers": 0"#, "balancers"),
+        (r#""aimUs": 500000"#, r#""aimUs": 0"#, "classes[0].aim"),
+        (r#""effect": "dedup""#, r#""effect": "magic""#, "classes[0].effect"),
+        (r#""group": "cell""#, r#""group": "moon""#, "classes[0].group"),
+        (r#""coldFrom": 0.33"#, r#""coldFrom": 7"#, "cold_from"),
+        (r#""membershipMode": "on_request""#, r#""membershipMode": "guess""#, "membershipMode"),
+    ];
+    for (good, bad, field) in swaps {
+        let json = SETTINGS.replace(good, bad);
+        assert_ne!(json, SETTINGS);
+        assert_eq!(parse_settings(json.as_bytes()).expect_err("it makes no sense").field, field);
+    }
+    let missing = parse_settings(SETTINGS.replace("\"safety\"", "\"sagety\"").as_bytes());
+    assert!(missing.expect_err("a key is missing").problem.contains("safety"));
+}
--- /dev/null
+++ b/crates/simhost/src/lib.rs
@@ -0,0 +1,3 @@
+//! The simulator's wire. The program of this crate hosts balancers on it.
+
+pub mod wire;
--- a/test.sh
+++ b/test.sh
@@ -1,14 +1,24 @@
 #!/usr/bin/env bash
-# All checks: format, lints, tests, the release build, documentation, and the module's size and line width.
+# All checks: format, lints, tests, the release build, documentation, and the decision module's size and line width.
 set -euo pipefail
 cd "$(dirname "$0")"
+# Lines that are not blank in all files that hold decisions, and the longest line's characters.
+readonly MOST_LINES=1200 MOST_WIDTH=110
+
 cargo fmt --check
-cargo clippy --locked --all-targets -- -D warnings
-cargo test --locked
-cargo build --release --locked
-RUSTDOCFLAGS="-D warnings" cargo doc --locked --no-deps --quiet
-lines=$(grep -cve '^[[:space:]]*$' src/balancer.rs)
-longest=$(awk '{ if (length($0) > most) most = length($0) } END { print most }' src/balancer.rs)
-echo "src/balancer.rs: $lines lines that are not blank (900 at most), the longest of $longest characters (110 at most)"
-# More than the simulator needs: outcomes and departures that only real sockets have take lines of their own.
-[ "$lines" -le 900 ] && [ "$longest" -le 110 ]
+cargo clippy --locked --workspace --all-targets -- -D warnings
+cargo test --locked --workspace
+cargo build --release --locked --workspace
+RUSTDOCFLAGS="-D warnings" cargo doc --locked --workspace --no-deps --quiet
+
+mapfile -t policy < <(sed -n 's/^policy = \[\(.*\)\]$/\1/p' deploy/balancer.toml | tr ',' '\n' | tr -d ' "')
+[ "${#policy[@]}" -gt 0 ] || { echo "deploy/balancer.toml names no policy files"; exit 1; }
+# Whatever decides is named there: the crate's other files are the interface, its root and tests.
+for file in crates/decision/src/*.rs; do
+    case "$file" in */api.rs | */lib.rs | *_tests.rs) continue ;; esac
+    [[ " ${policy[*]} " == *" $file "* ]] || { echo "$file is not named under policy"; exit 1; }
+done
+lines=$(cat "${policy[@]}" | grep -cve '^[[:space:]]*$')
+longest=$(cat "${policy[@]}" | awk '{ if (length($0) > most) most = length($0) } END { print most }')
+echo "policy: $lines lines that are not blank ($MOST_LINES at most), the longest of $longest characters ($MOST_WIDTH at most)"
+[ "$lines" -le "$MOST_LINES" ] && [ "$longest" -le "$MOST_WIDTH" ]
