--- a/crates/decision/src/api.rs
+++ b/crates/decision/src/api.rs
@@ -252,6 +252,8 @@
     pub work: Option<Micros>,
     /// Whether the client marked it as a repeat.
     pub repeat: bool,
+    /// Whether its attempts go over connections of this proxy; otherwise a caller outside makes them.
+    pub carried: bool,
 }
 
 /// How an attempt ended.
@@ -319,6 +321,14 @@
         /// The attempt.
         attempt: u16,
     },
+    /// An attempt became a session (a tunnel, say): its client has the answer, and it holds its slot, with no
+    /// latency to judge and nothing owed, until it is settled.
+    Occupied {
+        /// The request.
+        request: RequestId,
+        /// The attempt.
+        attempt: u16,
+    },
     /// An attempt ended.
     Settled(Settled<'a>),
     /// The client left; the request is over.
--- a/crates/decision/src/balancer.rs
+++ b/crates/decision/src/balancer.rs
@@ -7,8 +7,8 @@
 //! `answer` and `send` (one answer, nothing after it), `ready` (drains) and `ColdBudget` (cold servers).
 
 use crate::api::{
-    Action, Backend, DedupGroup, Effect, Event, Membership, Micros, Outcome, Readiness, Request, Settings,
-    SettingsError, Settled,
+    Action, Backend, DedupGroup, Effect, Event, Membership, Micros, Outcome, Readiness, Request, RequestId,
+    Settings, SettingsError, Settled,
 };
 use crate::state::{
     Attempt, AttemptState, Bucket, ColdBudget, CommonLimit, Latency, Open, PeakRate, Pool, Requests, Scope,
@@ -112,6 +112,7 @@
     open: Requests,
     held: Vec<usize>,
     in_flight: u32,
+    sessions: u32,
     latencies: Vec<Latency>,
     /// What the servers of each kind of machine take.
     kinds: Vec<CommonLimit>,
@@ -148,6 +149,7 @@
             open: Requests::default(),
             held: Vec::new(),
             in_flight: 0,
+            sessions: 0,
             latencies,
             kinds: vec![common; kinds],
             tenants: settings.tenants.iter().map(bucket).collect(),
@@ -166,6 +168,7 @@
             Event::Membership(news) => self.on_membership(now, news, out),
             Event::Request(request) => self.on_request(now, request, out),
             Event::Settled(settled) => self.on_settled(now, settled, out),
+            Event::Occupied { request, attempt } => self.on_occupied(now, request, attempt, out),
             Event::FirstByte { request, .. } => {
                 if let Some(slot) = self.open.find(request) {
                     self.open[slot].streaming = true;
@@ -300,6 +303,7 @@
             arrived: now,
             deadline: now + request.patience,
             over_share,
+            carried: request.carried,
             answered: false,
             streaming: false,
             held_until: None,
@@ -491,7 +495,9 @@
     fn pick(&mut self, now: Micros, slot: usize) -> Option<usize> {
         let open = &self.open[slot];
         let scope = self.scope(now, open);
-        if scope == Scope::Nowhere || self.in_flight >= self.pool.most {
+        // Sessions count, but must not keep every other request out.
+        let full = self.in_flight > 0 && self.in_flight + self.sessions >= self.pool.most;
+        if scope == Scope::Nowhere || full {
             return None;
         }
         // The server with most of its limit left although no whole slot, for a proxy that has nothing out.
@@ -515,7 +521,7 @@
             {
                 continue;
             }
-            let room = server.slots(part) - i64::from(server.in_flight);
+            let room = server.slots(part) - i64::from(server.in_flight + server.sessions);
             let left = server.limit * part + server.dither;
             if self.in_flight == 0 && left > spare.map_or(0.0, |(most, _)| most) {
                 spare = Some((left, index));
@@ -569,7 +575,7 @@
     /// The only place where an attempt starts. `pick` has made sure that the server may have it.
     fn send(&mut self, now: Micros, slot: usize, index: usize, out: &mut Vec<Action>) {
         self.unhold(slot);
-        let rested = self.connection(now, index, out);
+        let rested = if self.open[slot].carried { self.connection(now, index, out) } else { 0 };
         let cold = self.servers[index].cold;
         let tokens = cold.map(|cold| self.cold_tokens(now, &self.servers[index], &cold));
         let server = &mut self.servers[index];
@@ -657,13 +663,20 @@
         let Some(slot) = self.open.find(settled.request) else { return };
         let open = &mut self.open[slot];
         let Some(attempt) = open.attempts.get_mut(usize::from(settled.attempt)) else { return };
-        if attempt.state != AttemptState::Out {
-            return;
+        let was = attempt.state;
+        let never_ran = settled.outcome.never_ran() && was == AttemptState::Out;
+        match was {
+            AttemptState::Out | AttemptState::Session if never_ran => attempt.state = AttemptState::NeverRan,
+            AttemptState::Out | AttemptState::Session => attempt.state = AttemptState::MayHaveRun,
+            AttemptState::NeverRan | AttemptState::MayHaveRun => return,
         }
-        let never_ran = settled.outcome.never_ran();
-        attempt.state = if never_ran { AttemptState::NeverRan } else { AttemptState::MayHaveRun };
         let (attempt, class) = (*attempt, open.class);
-        self.observe(now, class, attempt, &settled, out);
+        if was == AttemptState::Session {
+            self.servers[attempt.server].sessions -= 1;
+            self.sessions -= 1;
+        } else {
+            self.observe(now, class, attempt, &settled, out);
+        }
         if settled.closed || self.open[slot].answered {
             self.close(slot);
         } else {
@@ -672,6 +685,22 @@
         self.serve_held(now, out);
     }
 
+    /// A session holds its slot, but is no request that owes an answer and has no latency.
+    fn on_occupied(&mut self, now: Micros, request: RequestId, attempt: u16, out: &mut Vec<Action>) {
+        let Some(slot) = self.open.find(request) else { return };
+        let attempt = self.open[slot].attempts.get_mut(usize::from(attempt));
+        let Some(attempt) = attempt.filter(|a| a.state == AttemptState::Out) else { return };
+        attempt.state = AttemptState::Session;
+        let index = attempt.server;
+        let server = &mut self.servers[index];
+        (server.in_flight, server.sessions) = (server.in_flight.saturating_sub(1), server.sessions + 1);
+        server.silent_since = now;
+        (self.in_flight, self.sessions) = (self.in_flight.saturating_sub(1), self.sessions + 1);
+        self.judge_health(now, index, false, out);
+        self.close(slot);
+        self.serve_held(now, out);
+    }
+
     /// An attempt failed and the client waits: another one, if the rules and the budget allow it.
     fn again(&mut self, now: Micros, slot: usize, never_ran: bool, out: &mut Vec<Action>) {
         if self.open[slot].out() > 0 || self.open[slot].held_until.is_some() {
--- a/crates/decision/src/state.rs
+++ b/crates/decision/src/state.rs
@@ -37,6 +37,8 @@
     pub(crate) held: u32,
     pub(crate) started: Option<Micros>,
     pub(crate) in_flight: u32,
+    /// Attempts that became sessions; they hold slots and are not in flight.
+    pub(crate) sessions: u32,
     pub(crate) limit: f64,
     pub(crate) dither: f64,
     /// The limit is its kind's; its own windows have not been judged.
@@ -130,6 +132,7 @@
 #[derive(Clone, Copy, PartialEq)]
 pub(crate) enum AttemptState {
     Out,
+    Session,
     NeverRan,
     MayHaveRun,
 }
@@ -152,6 +155,7 @@
     pub(crate) arrived: Micros,
     pub(crate) deadline: Micros,
     pub(crate) over_share: bool,
+    pub(crate) carried: bool,
     /// The client has its final answer, or left.
     pub(crate) answered: bool,
     pub(crate) streaming: bool,
@@ -161,7 +165,7 @@
 
 impl Open {
     pub(crate) fn out(&self) -> usize {
-        self.attempts.iter().filter(|a| a.state == AttemptState::Out).count()
+        self.attempts.iter().filter(|a| matches!(a.state, AttemptState::Out | AttemptState::Session)).count()
     }
 }
 
--- a/crates/decision/tests/common/mod.rs
+++ b/crates/decision/tests/common/mod.rs
@@ -70,7 +70,16 @@
 }
 
 pub fn request(id: RequestId, class: u8) -> Request {
-    Request { id, class, tenant: 0, key: None, patience: 2 * SECOND, work: None, repeat: false }
+    Request {
+        id,
+        class,
+        tenant: 0,
+        key: None,
+        patience: 2 * SECOND,
+        work: None,
+        repeat: false,
+        carried: true,
+    }
 }
 
 #[derive(Clone, Copy, PartialEq, Debug)]
--- /dev/null
+++ b/crates/engine/src/engine.rs
@@ -0,0 +1,727 @@
+//! Requests, timers and attempts round the decisions: a state machine with no I/O and no clock.
+//!
+//! The four rules are kept here for every front alike:
+//! 1. One final answer: a request's reply is moved out with its only [`Command::Answer`], by its last moment at the
+//!    latest; nothing can be said of it afterwards.
+//! 2. No effect twice: an attempt settles once, and the decisions are told of it in the same step. A lease that runs
+//!    out counts as one that may have run.
+//! 3. Drains: a carried attempt starts at once; a lease may be used for [`SEND_WITHIN`] only, and is asked back
+//!    when its backend drains or goes.
+//! 4. Cold backends: both kinds of attempts come from the decisions' one [`Action::Send`], after its budget.
+
+use crate::lease::{Lease, LeaseCounts, LeaseError, LeaseId, Leases, Stage};
+use crate::timers::{Due, Timers};
+use haventrack_decision::api::{
+    Action, Backend, BackendId, Event, Membership, Micros, Outcome, Readiness, Request, RequestId, Settings,
+    SettingsError, Settled,
+};
+use haventrack_decision::balancer::Balancer;
+use rustc_hash::{FxHashMap, FxHashSet};
+use std::collections::VecDeque;
+use thiserror::Error;
+
+/// The decisions are told that a request's time ends this much before the client's does: the answer has to be
+/// written and to travel.
+pub const ANSWER_MARGIN: Micros = 20_000;
+/// A request that the decisions have left open is failed this much before the client's time ends.
+pub const LAST_MARGIN: Micros = 10_000;
+/// How long after its grant the holder of a lease may begin to send. Well within the second for which a backend that
+/// drains may still get something new, so that a lease granted just before the news keeps that rule too.
+pub const SEND_WITHIN: Micros = 250_000;
+/// How long after an attempt is given up its holder's report may still arrive. Under `ANSWER_MARGIN` less
+/// `LAST_MARGIN`, so that the decisions word the final answer and not the last moment.
+pub const REPORT_GRACE: Micros = 8_000;
+/// A session that is not renewed for this long is over: its holder has died, and its slot has to come back.
+pub const SESSION_LEASE: Micros = 30_000_000;
+
+/// The front's types that travel through the engine.
+pub trait Exchange {
+    /// What a carried attempt sends, the same at every attempt.
+    type Work: Clone;
+    /// Where the final answer goes.
+    type Reply;
+    /// A backend's answer.
+    type Payload;
+}
+
+/// Who makes the attempts of a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Conduct<W> {
+    /// The engine's transport, with this.
+    Carried(W),
+    /// A caller outside, under leases.
+    Leased,
+}
+
+/// A request as a front took it.
+#[derive(Clone, Debug)]
+pub struct Arrival<W> {
+    /// Position of its class in the settings.
+    pub class: u8,
+    /// Position of its tenant in the settings.
+    pub tenant: u16,
+    /// What it is about.
+    pub key: Option<u64>,
+    /// When it came, microseconds.
+    pub arrived: Micros,
+    /// How long from then on its client waits, microseconds.
+    pub patience: Micros,
+    /// Expected work on a standard core, microseconds.
+    pub work: Option<Micros>,
+    /// Whether the client marked it as a repeat.
+    pub repeat: bool,
+    /// Who makes its attempts.
+    pub conduct: Conduct<W>,
+}
+
+/// The final answer to a request.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Verdict<P> {
+    /// A backend's answer; `None` where the holder of a lease has it.
+    Served(Option<P>),
+    /// Turned away; trying again is harmless.
+    Refused {
+        /// How long the client should stay away, microseconds; 0: no word.
+        retry_after: Micros,
+    },
+    /// Failed, with no promise of its effect.
+    Failed,
+}
+
+/// How an attempt or a probe ended.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Ended<P> {
+    /// The outcome in the decisions' terms.
+    pub outcome: Outcome,
+    /// The answer, where the outcome is [`Outcome::Ok`].
+    pub payload: Option<P>,
+    /// The load report that came along, in the order of the settings; empty: none.
+    pub report: Vec<f32>,
+}
+
+impl<P> From<Outcome> for Ended<P> {
+    fn from(outcome: Outcome) -> Self {
+        Self { outcome, payload: None, report: Vec::new() }
+    }
+}
+
+/// A lease as its holder is told of it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Grant {
+    /// Its id, a fencing token.
+    pub lease: LeaseId,
+    /// The request.
+    pub request: RequestId,
+    /// Number of the attempt, from 0.
+    pub attempt: u16,
+    /// Where to send.
+    pub backend: BackendId,
+    /// The holder must not begin to send later than this, microseconds.
+    pub send_by: Micros,
+    /// When to give the attempt up, microseconds.
+    pub give_up_at: Micros,
+}
+
+/// What the engine wants done.
+#[derive(Debug, PartialEq)]
+pub enum Command<X: Exchange> {
+    /// Make an attempt; [`Engine::ended`] is owed for it.
+    Start {
+        /// The request.
+        request: RequestId,
+        /// Number of the attempt, from 0.
+        attempt: u16,
+        /// Where to.
+        backend: BackendId,
+        /// When to give it up.
+        give_up_at: Micros,
+        /// What to send.
+        work: X::Work,
+    },
+    /// Give an attempt up; its end is still owed.
+    Withdraw {
+        /// The request.
+        request: RequestId,
+        /// The attempt.
+        attempt: u16,
+    },
+    /// Tell the front that its caller holds a lease; [`Engine::report`] is owed for it.
+    Grant(Grant),
+    /// Ask a lease back: a holder that has not begun to send must not, and reports [`Outcome::Moot`].
+    Revoke {
+        /// The request.
+        request: RequestId,
+        /// The lease.
+        lease: LeaseId,
+    },
+    /// The final answer.
+    Answer {
+        /// The request.
+        request: RequestId,
+        /// Where it goes.
+        reply: X::Reply,
+        /// What it is.
+        verdict: Verdict<X::Payload>,
+    },
+    /// Ask discovery for changes from now on.
+    Subscribe,
+    /// Probe a backend.
+    Probe(BackendId),
+    /// Close the idle connections to a backend.
+    CloseIdle(BackendId),
+    /// A line for the operators.
+    Log(String),
+}
+
+/// What there may be at a time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Bounds {
+    /// Requests whose attempts have not all ended. A further one is not taken.
+    pub requests: usize,
+    /// Leases that are out. At the bound no request for leases is taken, and no further attempt granted.
+    pub leases: usize,
+}
+
+/// A request that was not taken, and where its answer would have gone. Nothing of it has run: the front may refuse.
+#[derive(Debug, Error)]
+pub enum Overload<R> {
+    /// Too many requests are open.
+    #[error("too many requests are open")]
+    Requests(R),
+    /// Too many leases are out.
+    #[error("too many leases are out")]
+    Leases(R),
+}
+
+/// What has become of the requests.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// Taken.
+    pub taken: u64,
+    /// Not taken, at a bound.
+    pub overload: u64,
+    /// Answered by a backend.
+    pub served: u64,
+    /// Refused by the decisions.
+    pub refused: u64,
+    /// Failed, those at the last moment too.
+    pub failed: u64,
+    /// Left open by the decisions until the last moment.
+    pub last_moment: u64,
+    /// Their client left.
+    pub gone: u64,
+    /// Attempts begun.
+    pub attempts: u64,
+    /// Ends of attempts that were not out.
+    pub stray: u64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    Out,
+    Session,
+    Ended,
+}
+
+#[derive(Clone, Copy)]
+struct Attempt {
+    backend: BackendId,
+    sent_at: Micros,
+    state: State,
+    /// The serial number of its lease; 0: carried.
+    lease: u64,
+}
+
+struct Open<X: Exchange> {
+    conduct: Conduct<X::Work>,
+    /// `None` once the client has its final answer or has left.
+    reply: Option<X::Reply>,
+    attempts: Vec<Attempt>,
+}
+
+impl<X: Exchange> Open<X> {
+    fn is_over(&self) -> bool {
+        self.reply.is_none() && self.attempts.iter().all(|a| a.state == State::Ended)
+    }
+}
+
+/// An end that the engine itself has caused and not yet handed on.
+struct Pending {
+    request: RequestId,
+    attempt: u16,
+}
+
+/// Owns the decisions and all that is open.
+pub struct Engine<X: Exchange> {
+    balancer: Balancer,
+    bounds: Bounds,
+    max_attempts: usize,
+    /// The latest time that was told: an earlier one counts as this.
+    latest: Micros,
+    next_id: RequestId,
+    open: FxHashMap<RequestId, Open<X>>,
+    leases: Leases,
+    timers: Timers,
+    never_sent: VecDeque<Pending>,
+    actions: Vec<Action>,
+    commands: VecDeque<Command<X>>,
+    counts: Counts,
+}
+
+impl<X: Exchange> Engine<X> {
+    /// An engine with nothing open that knows no backends. `life` must differ from one start to the next: it tells
+    /// the leases of this life from those of others.
+    ///
+    /// # Errors
+    /// The first of the settings that makes no sense.
+    pub fn new(
+        settings: Settings,
+        bounds: Bounds,
+        seed: u64,
+        life: u64,
+        now: Micros,
+    ) -> Result<Self, SettingsError> {
+        let max_attempts = usize::from(settings.permissions.max_attempts);
+        Ok(Self {
+            balancer: Balancer::new(settings, seed, now)?,
+            bounds,
+            max_attempts,
+            latest: now,
+            next_id: 1,
+            open: FxHashMap::default(),
+            leases: Leases::new(life, bounds.leases),
+            timers: Timers::default(),
+            never_sent: VecDeque::new(),
+            actions: Vec::new(),
+            commands: VecDeque::new(),
+            counts: Counts::default(),
+        })
+    }
+
+    // ---- What fronts say ----
+
+    /// Takes a request. Its final answer comes as one [`Command::Answer`], unless its client leaves first.
+    ///
+    /// # Errors
+    /// At a bound: the request was not taken, and nothing will be said of it.
+    pub fn admit(
+        &mut self,
+        now: Micros,
+        arrival: Arrival<X::Work>,
+        reply: X::Reply,
+    ) -> Result<RequestId, Overload<X::Reply>> {
+        let now = self.at(now);
+        if self.open.len() >= self.bounds.requests {
+            self.counts.overload += 1;
+            return Err(Overload::Requests(reply));
+        }
+        if matches!(arrival.conduct, Conduct::Leased) && !self.leases.has_room() {
+            self.counts.overload += 1;
+            return Err(Overload::Leases(reply));
+        }
+        self.counts.taken += 1;
+        let id = self.number();
+        let left = arrival.arrived.saturating_add(arrival.patience).saturating_sub(now);
+        let request = Request {
+            id,
+            class: arrival.class,
+            tenant: arrival.tenant,
+            key: arrival.key,
+            // A client with hardly any time at all is not robbed of what it has.
+            patience: left.saturating_sub(ANSWER_MARGIN.min(left / 2)),
+            work: arrival.work,
+            repeat: arrival.repeat,
+            carried: matches!(arrival.conduct, Conduct::Carried(_)),
+        };
+        let open = Open { conduct: arrival.conduct, reply: Some(reply), attempts: Vec::new() };
+        self.open.insert(id, open);
+        self.remind(now + left.saturating_sub(LAST_MARGIN.min(left / 4)), Due::LastMoment(id));
+        self.feed(now, Event::Request(request));
+        Ok(id)
+    }
+
+    /// The client of a request has left: nothing more is said to it.
+    pub fn client_gone(&mut self, now: Micros, request: RequestId) {
+        let now = self.at(now);
+        if let Some(open) = self.open.get_mut(&request)
+            && open.reply.take().is_some()
+        {
+            self.counts.gone += 1;
+            self.feed(now, Event::ClientGone(request));
+            self.forget(request);
+        }
+    }
+
+    /// A carried attempt has ended.
+    pub fn ended(&mut self, now: Micros, request: RequestId, attempt: u16, ended: Ended<X::Payload>) {
+        let now = self.at(now);
+        if self.is_carried(request, attempt) {
+            self.settle(now, request, attempt, ended);
+            self.settle_never_sent(now);
+        } else {
+            self.counts.stray += 1;
+        }
+    }
+
+    /// A carried attempt has become a session: its backend has answered and its slot is held until the attempt ends.
+    pub fn established(&mut self, now: Micros, request: RequestId, attempt: u16, payload: X::Payload) {
+        let now = self.at(now);
+        if self.is_carried(request, attempt) {
+            self.occupy(now, request, attempt, Some(payload));
+        } else {
+            self.counts.stray += 1;
+        }
+    }
+
+    /// The holder of a lease tells how its attempt ended.
+    ///
+    /// # Errors
+    /// Where the lease is not out; then nothing has changed.
+    pub fn report(
+        &mut self,
+        now: Micros,
+        lease: LeaseId,
+        ended: Ended<X::Payload>,
+    ) -> Result<(), LeaseError> {
+        let now = self.at(now);
+        self.leases.find(now, lease)?;
+        if let Some(Lease { request, attempt, .. }) = self.leases.reported(lease.serial) {
+            self.settle(now, request, attempt, ended);
+            self.settle_never_sent(now);
+        }
+        Ok(())
+    }
+
+    /// The holder of a lease tells that its attempt has become a session. Gives the time until which it holds its
+    /// slot without being renewed.
+    ///
+    /// # Errors
+    /// Where the lease is not out or a session already; then nothing has changed.
+    pub fn establish(&mut self, now: Micros, id: LeaseId) -> Result<Micros, LeaseError> {
+        let now = self.at(now);
+        let expires = now.saturating_add(SESSION_LEASE);
+        let lease = self.leases.find(now, id)?;
+        if lease.stage == Stage::Session {
+            self.leases.counts.misfit += 1;
+            return Err(LeaseError::WrongState);
+        }
+        (lease.stage, lease.expires) = (Stage::Session, expires);
+        let (request, attempt) = (lease.request, lease.attempt);
+        self.occupy(now, request, attempt, None);
+        Ok(expires)
+    }
+
+    /// The holder of a session tells that it goes on. Gives the time until which it then holds its slot.
+    ///
+    /// # Errors
+    /// Where the lease is not out or no session; then nothing has changed.
+    pub fn renew(&mut self, now: Micros, id: LeaseId) -> Result<Micros, LeaseError> {
+        let now = self.at(now);
+        let lease = self.leases.find(now, id)?;
+        if lease.stage != Stage::Session {
+            self.leases.counts.misfit += 1;
+            return Err(LeaseError::WrongState);
+        }
+        lease.expires = now.saturating_add(SESSION_LEASE);
+        Ok(lease.expires)
+    }
+
+    /// News of the backends. Leases on those that drain or are gone are asked back while they may be unsent.
+    pub fn membership(&mut self, now: Micros, news: Membership<'_>) {
+        let now = self.at(now);
+        let unsent = if self.leases.len() == 0 { Vec::new() } else { self.unsent(now, news) };
+        self.feed(now, Event::Membership(news));
+        for serial in unsent {
+            self.revoke(serial);
+        }
+    }
+
+    /// A probe has ended.
+    pub fn probed(&mut self, now: Micros, backend: BackendId, outcome: Outcome, report: &[f32]) {
+        let now = self.at(now);
+        self.feed(now, Event::Probed { backend, outcome, report });
+    }
+
+    /// Hands on what is due.
+    pub fn advance(&mut self, now: Micros) {
+        let now = self.at(now);
+        while let Some(due) = self.timers.pop(now) {
+            match due {
+                Due::Decision(token) => self.feed(now, Event::Timer(token)),
+                Due::LastMoment(request) => self.last_moment(now, request),
+                Due::LeaseEnd(serial) => self.lease_end(now, serial),
+            }
+        }
+    }
+
+    // ---- What fronts ask ----
+
+    /// When [`Engine::advance`] is next wanted.
+    #[must_use]
+    pub fn next_due(&self) -> Option<Micros> {
+        self.timers.next()
+    }
+
+    /// The next thing to do, oldest first.
+    pub fn next_command(&mut self) -> Option<Command<X>> {
+        self.commands.pop_front()
+    }
+
+    /// Where the answer of a request will go, while it has none.
+    #[must_use]
+    pub fn reply(&self, request: RequestId) -> Option<&X::Reply> {
+        self.open.get(&request)?.reply.as_ref()
+    }
+
+    /// Requests whose attempts have not all ended.
+    #[must_use]
+    pub fn open(&self) -> usize {
+        self.open.len()
+    }
+
+    /// Leases that are out.
+    #[must_use]
+    pub fn leases(&self) -> usize {
+        self.leases.len()
+    }
+
+    /// Timers that are kept, those of ended causes too.
+    #[must_use]
+    pub fn timers(&self) -> usize {
+        self.timers.len()
+    }
+
+    /// What has become of the requests.
+    #[must_use]
+    pub fn counts(&self) -> Counts {
+        self.counts
+    }
+
+    /// What has become of the leases.
+    #[must_use]
+    pub fn lease_counts(&self) -> LeaseCounts {
+        self.leases.counts
+    }
+
+    // ---- Inside ----
+
+    /// Time does not go back, whatever a caller's clock does.
+    fn at(&mut self, now: Micros) -> Micros {
+        self.latest = self.latest.max(now);
+        self.latest
+    }
+
+    /// A number that no open request has.
+    fn number(&mut self) -> RequestId {
+        loop {
+            let id = self.next_id;
+            self.next_id = id.wrapping_add(1);
+            if !self.open.contains_key(&id) {
+                return id;
+            }
+        }
+    }
+
+    fn remind(&mut self, at: Micros, due: Due) {
+        let (open, leases) = (&self.open, &self.leases);
+        self.timers.add(at, due, |due| match due {
+            Due::Decision(_) => true,
+            Due::LastMoment(request) => open.get(&request).is_some_and(|open| open.reply.is_some()),
+            Due::LeaseEnd(serial) => leases.is_out(serial),
+        });
+    }
+
+    fn is_carried(&self, request: RequestId, attempt: u16) -> bool {
+        let open = self.open.get(&request);
+        let attempt = open.and_then(|open| open.attempts.get(usize::from(attempt)));
+        attempt.is_some_and(|a| a.lease == 0 && a.state != State::Ended)
+    }
+
+    /// Rule 1: whatever the decisions are waiting for, the client gets an answer before its time ends.
+    fn last_moment(&mut self, now: Micros, request: RequestId) {
+        if self.reply(request).is_some() {
+            self.counts.last_moment += 1;
+            self.answer(request, Verdict::Failed);
+            self.feed(now, Event::ClientGone(request));
+        }
+    }
+
+    /// Rule 2: the holder has said nothing; whether its attempt ran is not known.
+    fn lease_end(&mut self, now: Micros, serial: u64) {
+        match self.leases.expire(now, serial) {
+            Ok(Some(Lease { request, attempt, .. })) => {
+                self.settle(now, request, attempt, Outcome::Timeout.into());
+                self.settle_never_sent(now);
+            }
+            Ok(None) => {}
+            Err(later) => self.remind(later, Due::LeaseEnd(serial)),
+        }
+    }
+
+    fn unsent(&self, now: Micros, news: Membership<'_>) -> Vec<u64> {
+        let of = |entries: &[Backend], ready: bool| -> FxHashSet<BackendId> {
+            let wanted = entries.iter().filter(|e| (e.readiness == Readiness::Ready) == ready);
+            wanted.map(|e| e.id).collect()
+        };
+        match news {
+            Membership::Delta(entries) => {
+                let left = of(entries, false);
+                self.leases.unsent_on(now, |backend| left.contains(&backend))
+            }
+            Membership::Full(entries) | Membership::Cached(entries) => {
+                let ready = of(entries, true);
+                self.leases.unsent_on(now, |backend| !ready.contains(&backend))
+            }
+            Membership::Failed => Vec::new(),
+        }
+    }
+
+    fn revoke(&mut self, serial: u64) {
+        let lease = self.leases.id(serial);
+        if let Some(request) = self.leases.revoke(serial) {
+            self.commands.push_back(Command::Revoke { request, lease });
+        }
+    }
+
+    /// Gives the decisions an event, and then whatever their actions have caused at once.
+    fn feed(&mut self, now: Micros, event: Event<'_>) {
+        self.balancer.handle(now, event, &mut self.actions);
+        self.act(now);
+        self.settle_never_sent(now);
+    }
+
+    fn settle_never_sent(&mut self, now: Micros) {
+        while let Some(Pending { request, attempt }) = self.never_sent.pop_front() {
+            self.settle(now, request, attempt, Outcome::Moot.into());
+        }
+    }
+
+    /// The one place where an attempt ends.
+    fn settle(&mut self, now: Micros, request: RequestId, number: u16, ended: Ended<X::Payload>) {
+        let Some(open) = self.open.get_mut(&request) else { return };
+        let Some(attempt) = open.attempts.get_mut(usize::from(number)) else { return };
+        let was = std::mem::replace(&mut attempt.state, State::Ended);
+        assert!(was != State::Ended, "attempt {number} of request {request} ends twice");
+        let (backend, elapsed) = (attempt.backend, now.saturating_sub(attempt.sent_at));
+        // The first answer of a backend reaches the client without being asked for.
+        if ended.outcome == Outcome::Ok {
+            self.answer(request, Verdict::Served(ended.payload));
+        }
+        let closed = self.reply(request).is_none();
+        let (outcome, report) = (ended.outcome, ended.report.as_slice());
+        let settled = Settled { request, backend, attempt: number, outcome, closed, elapsed, report };
+        self.balancer.handle(now, Event::Settled(settled), &mut self.actions);
+        self.act(now);
+        self.forget(request);
+    }
+
+    fn occupy(&mut self, now: Micros, request: RequestId, number: u16, payload: Option<X::Payload>) {
+        let open = self.open.get_mut(&request);
+        let Some(attempt) = open.and_then(|open| open.attempts.get_mut(usize::from(number))) else { return };
+        if attempt.state != State::Out {
+            self.counts.stray += 1;
+            return;
+        }
+        attempt.state = State::Session;
+        self.answer(request, Verdict::Served(payload));
+        self.feed(now, Event::Occupied { request, attempt: number });
+    }
+
+    /// Removes a request for which nothing more can come.
+    fn forget(&mut self, request: RequestId) {
+        if self.open.get(&request).is_some_and(Open::is_over) {
+            self.open.remove(&request);
+        }
+    }
+
+    fn act(&mut self, now: Micros) {
+        let mut actions = std::mem::take(&mut self.actions);
+        for action in actions.drain(..) {
+            match action {
+                Action::Send { request, backend, give_up_at } => self.send(now, request, backend, give_up_at),
+                Action::Refuse { request, retry_after } => {
+                    self.answer(request, Verdict::Refused { retry_after });
+                }
+                Action::Fail { request } => self.answer(request, Verdict::Failed),
+                Action::Cancel { request, attempt } => self.withdraw(request, attempt),
+                Action::SetTimer { after, token } => {
+                    self.remind(now.saturating_add(after), Due::Decision(token))
+                }
+                Action::Subscribe => self.commands.push_back(Command::Subscribe),
+                Action::Probe(backend) => self.commands.push_back(Command::Probe(backend)),
+                Action::CloseIdle(backend) => self.commands.push_back(Command::CloseIdle(backend)),
+                Action::Log(line) => self.commands.push_back(Command::Log(line)),
+            }
+        }
+        self.actions = actions;
+    }
+
+    /// The one place where a final answer leaves.
+    fn answer(&mut self, request: RequestId, verdict: Verdict<X::Payload>) {
+        let Some(reply) = self.open.get_mut(&request).and_then(|open| open.reply.take()) else { return };
+        let count = match verdict {
+            Verdict::Served(_) => &mut self.counts.served,
+            Verdict::Refused { .. } => &mut self.counts.refused,
+            Verdict::Failed => &mut self.counts.failed,
+        };
+        *count += 1;
+        self.commands.push_back(Command::Answer { request, reply, verdict });
+        self.forget(request);
+    }
+
+    fn send(&mut self, now: Micros, request: RequestId, backend: BackendId, give_up_at: Micros) {
+        let Some(open) = self.open.get_mut(&request) else { return };
+        let attempt = open.attempts.len() as u16;
+        let may_go = open.reply.is_some() && open.attempts.len() < self.max_attempts && give_up_at > now;
+        open.attempts.push(Attempt { backend, sent_at: now, state: State::Out, lease: 0 });
+        self.counts.attempts += 1;
+        match &open.conduct {
+            _ if !may_go => self.never_sent.push_back(Pending { request, attempt }),
+            Conduct::Carried(work) => {
+                let work = work.clone();
+                self.commands.push_back(Command::Start { request, attempt, backend, give_up_at, work });
+            }
+            Conduct::Leased => self.grant(now, request, attempt, backend, give_up_at),
+        }
+    }
+
+    fn grant(
+        &mut self,
+        now: Micros,
+        request: RequestId,
+        attempt: u16,
+        backend: BackendId,
+        give_up_at: Micros,
+    ) {
+        let send_by = give_up_at.min(now.saturating_add(SEND_WITHIN));
+        let expires = give_up_at.saturating_add(REPORT_GRACE);
+        let lease =
+            Lease { request, attempt, backend, send_by, expires, stage: Stage::Granted, revoked: false };
+        let Some(id) = self.leases.grant(lease) else {
+            self.never_sent.push_back(Pending { request, attempt });
+            return;
+        };
+        if let Some(a) = self.open.get_mut(&request).and_then(|o| o.attempts.get_mut(usize::from(attempt))) {
+            a.lease = id.serial;
+        }
+        self.remind(expires, Due::LeaseEnd(id.serial));
+        self.commands.push_back(Command::Grant(Grant {
+            lease: id,
+            request,
+            attempt,
+            backend,
+            send_by,
+            give_up_at,
+        }));
+    }
+
+    fn withdraw(&mut self, request: RequestId, number: u16) {
+        let open = self.open.get(&request);
+        let Some(attempt) = open.and_then(|open| open.attempts.get(usize::from(number))) else { return };
+        match (attempt.state, attempt.lease) {
+            (State::Ended, _) => {}
+            (_, 0) => self.commands.push_back(Command::Withdraw { request, attempt: number }),
+            (_, serial) => self.revoke(serial),
+        }
+    }
+}
--- /dev/null
+++ b/crates/engine/src/shell/mod.rs
@@ -0,0 +1,253 @@
+//! The asynchronous part: fronts call the engine through a [`Handle`], its commands go to a [`Transport`], and one
+//! task sleeps until the next timer.
+//!
+//! All of it lives on one thread (a `LocalSet`). A front's call runs the engine at once, with no queue between them:
+//! nothing can pile up there, and a request costs no change of task.
+
+pub mod clock;
+
+use crate::engine::{Arrival, Command, Counts, Ended, Engine, Exchange, Grant, Overload, Verdict};
+use crate::lease::{LeaseCounts, LeaseError, LeaseId};
+use clock::Clock;
+use haventrack_decision::api::{BackendId, Membership, Micros, RequestId};
+use rustc_hash::FxHashMap;
+use std::cell::{Cell, RefCell};
+use std::future::Future;
+use std::rc::Rc;
+use tokio::sync::{Notify, oneshot};
+use tokio::time::{Instant, sleep_until};
+
+/// What carries the engine's commands out. None of these may call the engine back before it returns.
+pub trait Transport: Sized + 'static {
+    /// The types that travel.
+    type Exchange: Exchange;
+
+    /// Makes an attempt on a backend and tells how it ended: given up at `give_up`, or when `withdrawn` fires.
+    fn start(
+        &self,
+        backend: BackendId,
+        work: <Self::Exchange as Exchange>::Work,
+        give_up: Instant,
+        withdrawn: oneshot::Receiver<()>,
+    ) -> impl Future<Output = Ended<<Self::Exchange as Exchange>::Payload>> + 'static;
+
+    /// Probes a backend and tells how that ended.
+    fn probe(
+        &self,
+        backend: BackendId,
+    ) -> impl Future<Output = Ended<<Self::Exchange as Exchange>::Payload>> + 'static;
+
+    /// Hands a final answer to its front.
+    fn answer(
+        &self,
+        reply: <Self::Exchange as Exchange>::Reply,
+        verdict: Verdict<<Self::Exchange as Exchange>::Payload>,
+    );
+
+    /// Tells the front of a request that its caller holds a lease; `None` where the caller has left.
+    fn grant(&self, reply: Option<&<Self::Exchange as Exchange>::Reply>, grant: Grant);
+
+    /// Asks a lease back; `None` where the caller has left.
+    fn revoke(&self, reply: Option<&<Self::Exchange as Exchange>::Reply>, lease: LeaseId);
+
+    /// Begins to follow discovery, where it has to be asked.
+    fn subscribe(&self);
+
+    /// Closes the idle connections to a backend.
+    fn close_idle(&self, backend: BackendId);
+
+    /// Writes a line for the operators.
+    fn log(&self, line: &str);
+}
+
+type Work<T> = <<T as Transport>::Exchange as Exchange>::Work;
+type Reply<T> = <<T as Transport>::Exchange as Exchange>::Reply;
+type Payload<T> = <<T as Transport>::Exchange as Exchange>::Payload;
+
+struct Inner<T: Transport> {
+    engine: RefCell<Engine<T::Exchange>>,
+    /// What withdraws the carried attempts that are out.
+    withdraw: RefCell<FxHashMap<(RequestId, u16), oneshot::Sender<()>>>,
+    transport: T,
+    clock: Clock,
+    /// Until when the timers' task sleeps; `Micros::MAX`: until it is woken.
+    asleep_until: Cell<Micros>,
+    wake: Notify,
+    /// A call of the engine panicked: what it left behind can't be trusted.
+    broken: Cell<bool>,
+}
+
+/// Marks the engine as broken where a call of it unwinds.
+struct Watch<'a, T: Transport>(&'a Inner<T>);
+
+impl<T: Transport> Drop for Watch<'_, T> {
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            self.0.broken.set(true);
+            self.0.wake.notify_one();
+        }
+    }
+}
+
+/// The way to the engine.
+pub struct Handle<T: Transport>(Rc<Inner<T>>);
+
+impl<T: Transport> Clone for Handle<T> {
+    fn clone(&self) -> Self {
+        Self(Rc::clone(&self.0))
+    }
+}
+
+impl<T: Transport> Handle<T> {
+    /// The way to this engine.
+    #[must_use]
+    pub fn new(engine: Engine<T::Exchange>, clock: Clock, transport: T) -> Self {
+        Self(Rc::new(Inner {
+            engine: RefCell::new(engine),
+            withdraw: RefCell::default(),
+            transport,
+            clock,
+            asleep_until: Cell::new(0),
+            wake: Notify::new(),
+            broken: Cell::new(false),
+        }))
+    }
+
+    /// Keeps the timers. Ends only when the engine has panicked: the process should then end too.
+    pub async fn run(self) {
+        while !self.0.broken.get() {
+            let next = self.drive(|engine, _| engine.next_due());
+            self.0.asleep_until.set(next.unwrap_or(Micros::MAX));
+            match next {
+                None => self.0.wake.notified().await,
+                Some(due) => tokio::select! {
+                    () = self.0.wake.notified() => {}
+                    () = sleep_until(self.0.clock.instant(due)) => {}
+                },
+            }
+            self.0.asleep_until.set(0);
+        }
+    }
+
+    /// Takes a request; see [`Engine::admit`].
+    ///
+    /// # Errors
+    /// At a bound.
+    pub fn admit(&self, arrival: Arrival<Work<T>>, reply: Reply<T>) -> Result<RequestId, Overload<Reply<T>>> {
+        self.drive(|engine, now| engine.admit(now, arrival, reply))
+    }
+
+    /// The client of a request has left.
+    pub fn client_gone(&self, request: RequestId) {
+        self.drive(|engine, now| engine.client_gone(now, request));
+    }
+
+    /// The holder of a lease tells how its attempt ended.
+    ///
+    /// # Errors
+    /// Where the lease is not out.
+    pub fn report(&self, lease: LeaseId, ended: Ended<Payload<T>>) -> Result<(), LeaseError> {
+        self.drive(|engine, now| engine.report(now, lease, ended))
+    }
+
+    /// The holder of a lease tells that its attempt has become a session; gives the time left without being renewed.
+    ///
+    /// # Errors
+    /// Where the lease is not out or a session already.
+    pub fn establish(&self, lease: LeaseId) -> Result<Micros, LeaseError> {
+        self.drive(|engine, now| engine.establish(now, lease).map(|until| until.saturating_sub(now)))
+    }
+
+    /// The holder of a session tells that it goes on; gives the time left without being renewed.
+    ///
+    /// # Errors
+    /// Where the lease is not out or no session.
+    pub fn renew(&self, lease: LeaseId) -> Result<Micros, LeaseError> {
+        self.drive(|engine, now| engine.renew(now, lease).map(|until| until.saturating_sub(now)))
+    }
+
+    /// News of the backends.
+    pub fn membership(&self, news: Membership<'_>) {
+        self.drive(|engine, now| engine.membership(now, news));
+    }
+
+    /// The transport, for what a front does beside requests.
+    #[must_use]
+    pub fn transport(&self) -> &T {
+        &self.0.transport
+    }
+
+    /// The clock that all events are told by.
+    #[must_use]
+    pub fn clock(&self) -> Clock {
+        self.0.clock
+    }
+
+    /// What has become of the requests and of the leases.
+    #[must_use]
+    pub fn counts(&self) -> (Counts, LeaseCounts) {
+        let engine = self.0.engine.borrow();
+        (engine.counts(), engine.lease_counts())
+    }
+
+    /// Runs the engine, then what is due, then all that both want done.
+    fn drive<R>(&self, run: impl FnOnce(&mut Engine<T::Exchange>, Micros) -> R) -> R {
+        let inner = &*self.0;
+        let _watch = Watch(inner);
+        let engine = &mut *inner.engine.borrow_mut();
+        let now = inner.clock.now();
+        let result = run(engine, now);
+        // Under a steady stream of calls the timers still have their turn.
+        engine.advance(now);
+        while let Some(command) = engine.next_command() {
+            self.carry_out(engine, command);
+        }
+        if engine.next_due().unwrap_or(Micros::MAX) < inner.asleep_until.get() {
+            inner.wake.notify_one();
+        }
+        result
+    }
+
+    fn carry_out(&self, engine: &Engine<T::Exchange>, command: Command<T::Exchange>) {
+        let transport = &self.0.transport;
+        match command {
+            Command::Start { request, attempt, backend, give_up_at, work } => {
+                self.start(request, attempt, backend, give_up_at, work);
+            }
+            Command::Withdraw { request, attempt } => {
+                if let Some(withdraw) = self.0.withdraw.borrow_mut().remove(&(request, attempt)) {
+                    let _ = withdraw.send(());
+                }
+            }
+            Command::Grant(grant) => transport.grant(engine.reply(grant.request), grant),
+            Command::Revoke { request, lease } => transport.revoke(engine.reply(request), lease),
+            Command::Answer { reply, verdict, .. } => transport.answer(reply, verdict),
+            Command::Subscribe => transport.subscribe(),
+            Command::Probe(backend) => self.probe(backend),
+            Command::CloseIdle(backend) => transport.close_idle(backend),
+            Command::Log(line) => transport.log(&line),
+        }
+    }
+
+    fn start(&self, request: RequestId, attempt: u16, backend: BackendId, give_up_at: Micros, work: Work<T>) {
+        let (withdraw, withdrawn) = oneshot::channel();
+        self.0.withdraw.borrow_mut().insert((request, attempt), withdraw);
+        let give_up = self.0.clock.instant(give_up_at);
+        let attempting = self.0.transport.start(backend, work, give_up, withdrawn);
+        let handle = self.clone();
+        tokio::task::spawn_local(async move {
+            let ended = attempting.await;
+            handle.0.withdraw.borrow_mut().remove(&(request, attempt));
+            handle.drive(|engine, now| engine.ended(now, request, attempt, ended));
+        });
+    }
+
+    fn probe(&self, backend: BackendId) {
+        let probing = self.0.transport.probe(backend);
+        let handle = self.clone();
+        tokio::task::spawn_local(async move {
+            let ended = probing.await;
+            handle.drive(|engine, now| engine.probed(now, backend, ended.outcome, &ended.report));
+        });
+    }
+}
--- a/crates/proxy/src/backends.rs
+++ b/crates/proxy/src/backends.rs
@@ -75,21 +75,7 @@
 }
 
 /// How an attempt or a probe ended.
-#[derive(Debug)]
-pub struct Ended {
-    /// The outcome in the module's terms.
-    pub outcome: Outcome,
-    /// The answer, where the outcome is [`Outcome::Ok`].
-    pub served: Option<Served>,
-    /// The load report that came along, in the order of the settings; empty: none.
-    pub report: Vec<f32>,
-}
-
-impl From<Outcome> for Ended {
-    fn from(outcome: Outcome) -> Self {
-        Self { outcome, served: None, report: Vec::new() }
-    }
-}
+type Ended = haventrack_engine::engine::Ended<Served>;
 
 /// A connection's socket, with a count of the bytes that it took.
 struct Wire {
@@ -491,7 +477,7 @@
         let report = reply.headers.get(LOAD).and_then(|v| v.to_str().ok()).map(|text| self.report(text));
         let served = (outcome == Outcome::Ok)
             .then(|| Served { body: reply.body, content_type: reply.headers.get(CONTENT_TYPE).cloned() });
-        Ended { outcome, served, report: report.unwrap_or_default() }
+        Ended { outcome, payload: served, report: report.unwrap_or_default() }
     }
 
     /// A load report (`name=value,...`) in the settings' order; what it leaves out is not a number.
@@ -526,7 +512,7 @@
                 self.keep(&server, conn);
                 let body = String::from_utf8_lossy(&reply.body).into_owned();
                 let mut ended = self.ended(reply);
-                ended.served = None;
+                ended.payload = None;
                 if deep && ended.outcome == Outcome::Ok && ended.report.is_empty() && !body.is_empty() {
                     ended.report = self.report(body.trim());
                 }
--- /dev/null
+++ b/crates/proxy/src/carrier.rs
@@ -0,0 +1,123 @@
+//! Carries the engine's commands out over connections to backends.
+
+use crate::backends::{Call, Fleet, Listed, Served};
+use crate::log::log;
+use haventrack_decision::api::{Backend, BackendId, Membership, Outcome};
+use haventrack_engine::engine::{Ended, Exchange, Grant, Verdict};
+use haventrack_engine::lease::LeaseId;
+use haventrack_engine::shell::{self, Transport};
+use rustc_hash::FxHashSet;
+use std::future::Future;
+use std::rc::Rc;
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::Instant;
+
+/// What travels between clients and backends.
+#[derive(Debug)]
+pub struct Http;
+
+impl Exchange for Http {
+    type Work = Rc<Call>;
+    type Reply = oneshot::Sender<Verdict<Served>>;
+    type Payload = Served;
+}
+
+/// The way to the engine.
+pub type Handle = shell::Handle<Carrier>;
+
+/// The transport of this proxy's own connections.
+pub struct Carrier {
+    /// The backends, and the connections to them.
+    pub fleet: Rc<Fleet>,
+    /// Asks discovery for changes, where it has to be asked.
+    pub subscribe: mpsc::UnboundedSender<()>,
+    /// Whether load reports come with probes alone.
+    pub report_by_probe: bool,
+}
+
+impl Transport for Carrier {
+    type Exchange = Http;
+
+    fn start(
+        &self,
+        backend: BackendId,
+        work: Rc<Call>,
+        give_up: Instant,
+        withdrawn: oneshot::Receiver<()>,
+    ) -> impl Future<Output = Ended<Served>> + 'static {
+        let (fleet, server) = (Rc::clone(&self.fleet), self.fleet.server(backend));
+        async move {
+            match server {
+                Some(server) => fleet.attempt(server, work, give_up, withdrawn).await,
+                None => Outcome::Moot.into(),
+            }
+        }
+    }
+
+    fn probe(&self, backend: BackendId) -> impl Future<Output = Ended<Served>> + 'static {
+        let (fleet, server, deep) =
+            (Rc::clone(&self.fleet), self.fleet.server(backend), self.report_by_probe);
+        async move {
+            match server {
+                Some(server) => fleet.probe(server, deep).await,
+                None => Outcome::Moot.into(),
+            }
+        }
+    }
+
+    fn answer(&self, reply: oneshot::Sender<Verdict<Served>>, verdict: Verdict<Served>) {
+        // A client that has left meanwhile is told of by its own guard.
+        let _ = reply.send(verdict);
+    }
+
+    fn grant(&self, _: Option<&oneshot::Sender<Verdict<Served>>>, grant: Grant) {
+        // This front asks for none; one that is granted all the same runs out by itself.
+        log(format_args!("nobody asked for lease {}", grant.lease));
+    }
+
+    fn revoke(&self, _: Option<&oneshot::Sender<Verdict<Served>>>, _: LeaseId) {}
+
+    fn subscribe(&self) {
+        let _ = self.subscribe.send(());
+    }
+
+    fn close_idle(&self, backend: BackendId) {
+        self.fleet.close_idle(backend);
+    }
+
+    fn log(&self, line: &str) {
+        log(format_args!("{line}"));
+    }
+}
+
+/// How a list of backends is to be read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Scope {
+    /// Changed entries.
+    Delta,
+    /// The complete list.
+    Full,
+    /// The complete list as last held.
+    Cached,
+    /// A call to discovery failed.
+    Failed,
+}
+
+/// Hands a list on: to the sockets first, so that an attempt which this very list starts finds its backend.
+pub fn tell_list(handle: &Handle, scope: Scope, entries: &[Listed]) {
+    let fleet = &handle.transport().fleet;
+    if matches!(scope, Scope::Full | Scope::Cached) {
+        let listed: FxHashSet<_> = entries.iter().map(|e| e.backend.id).collect();
+        fleet.retain(|id| listed.contains(&id));
+    }
+    for Listed { backend, address } in entries {
+        fleet.update(backend.id, *address, backend.readiness, backend.started);
+    }
+    let backends: Vec<Backend> = entries.iter().map(|e| e.backend).collect();
+    handle.membership(match scope {
+        Scope::Delta => Membership::Delta(&backends),
+        Scope::Full => Membership::Full(&backends),
+        Scope::Cached => Membership::Cached(&backends),
+        Scope::Failed => Membership::Failed,
+    });
+}
--- a/crates/proxy/src/clients.rs
+++ b/crates/proxy/src/clients.rs
@@ -2,12 +2,13 @@
 
 use crate::backends::Call;
 use crate::bounds::{BODY_CAP, REQUEST_HEAD_CAP};
-use crate::clock::Clock;
-use crate::driver::{Answer, Handle, Inbound, Message};
+use crate::carrier::Handle;
 use crate::log::log;
 use crate::names::Names;
 use bytes::Bytes;
 use haventrack_decision::api::{Effect, Micros, RequestId, Settings};
+use haventrack_engine::engine::{Arrival, Conduct, Overload, Verdict};
+use haventrack_engine::shell::clock::Clock;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
@@ -40,6 +41,8 @@
 const LINGER_BYTES: usize = 4 * BODY_CAP;
 /// At the cap, one in this many connections is asked to close.
 const SHED_PART: usize = 8;
+/// When a client that met a bound of this proxy may try again, microseconds.
+const OVERLOAD_RETRY: Micros = 1_000_000;
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
 /// A time left beyond this makes no sense.
 const MOST_TIME_LEFT_MS: u64 = 3_600_000;
@@ -225,7 +228,7 @@
             self.up()
         } else {
             let answered = match self.inbound(request, arrived, late).await {
-                Ok(inbound) => self.ask(inbound).await,
+                Ok((arrival, id)) => self.ask(arrival, id).await,
                 Err(rejected) => Err(rejected),
             };
             answered.unwrap_or_else(|Rejected(status, why)| {
@@ -253,26 +256,36 @@
         }
     }
 
-    async fn ask(&self, inbound: Inbound) -> Result<Response<Full<Bytes>>, Rejected> {
+    async fn ask(
+        &self,
+        arrival: Arrival<Rc<Call>>,
+        id: HeaderValue,
+    ) -> Result<Response<Full<Bytes>>, Rejected> {
         // Rule 2: passed on, a second request of the same id would be a second copy of the first.
-        let Some(_id) = OpenId::claim(&self.ids, &inbound.call.headers) else {
+        let Some(_id) = OpenId::claim(&self.ids, id) else {
             return Err(Rejected(StatusCode::CONFLICT, "a request of this id is open\n"));
         };
         let (sender, answer) = oneshot::channel();
-        let guard = Guard { handle: &self.handle, request: inbound.request.id, answered: false };
-        self.handle.tell(Message::Request(Box::new(inbound), sender));
+        let request = match self.handle.admit(arrival, sender) {
+            Ok(request) => request,
+            // Nothing of it has run.
+            Err(Overload::Requests(_) | Overload::Leases(_)) => return Ok(refusal(OVERLOAD_RETRY)),
+        };
+        let guard = Guard { handle: &self.handle, request, answered: false };
         let answer = answer.await;
         guard.answered();
         Ok(match answer {
-            Ok(Answer::Served(served)) => {
+            Ok(Verdict::Served(Some(served))) => {
                 let mut response = Response::new(Full::new(served.body));
                 if let Some(content_type) = served.content_type {
                     response.headers_mut().insert(header::CONTENT_TYPE, content_type);
                 }
                 response
             }
-            Ok(Answer::Refused { retry_after }) => refusal(retry_after),
-            Ok(Answer::Failed) | Err(_) => plain(StatusCode::BAD_GATEWAY, "failed\n"),
+            Ok(Verdict::Refused { retry_after }) => refusal(retry_after),
+            Ok(Verdict::Served(None) | Verdict::Failed) | Err(_) => {
+                plain(StatusCode::BAD_GATEWAY, "failed\n")
+            }
         })
     }
 
@@ -281,7 +294,7 @@
         request: Request<Incoming>,
         arrived: Micros,
         late: Instant,
-    ) -> Result<Inbound, Rejected> {
+    ) -> Result<(Arrival<Rc<Call>>, HeaderValue), Rejected> {
         let (head, body) = request.into_parts();
         let bad = |why| Rejected(StatusCode::BAD_REQUEST, why);
         let text = |name| head.headers.get(name).and_then(|v: &HeaderValue| v.to_str().ok());
@@ -309,9 +322,9 @@
         if facts.keyed && text(IDEMPOTENCY_KEY).is_none_or(str::is_empty) {
             return Err(bad("Idempotency-Key is missing\n"));
         }
-        if text(CORRELATION_ID).is_none_or(str::is_empty) {
-            return Err(bad("X-Correlation-Id is missing\n"));
-        }
+        let id =
+            head.headers.get(CORRELATION_ID).filter(|_| text(CORRELATION_ID).is_some_and(|t| !t.is_empty()));
+        let id = id.cloned().ok_or(bad("X-Correlation-Id is missing\n"))?;
         let tenant = match text(ACCOUNT) {
             _ if self.tenants.is_empty() => 0,
             account => *account.and_then(|a| self.tenants.get(a)).ok_or(bad("unknown account\n"))?,
@@ -321,22 +334,19 @@
         let time_left = digits.and_then(|v| v.parse::<u64>().ok());
         let time_left = time_left.filter(|&ms| ms <= MOST_TIME_LEFT_MS);
         let patience = time_left.ok_or(bad("X-Time-Left-Ms is missing or makes no sense\n"))? * 1_000;
-        let request = haventrack_decision::api::Request {
-            id: self.handle.number(),
-            class: *class,
-            tenant,
-            key: head.uri.query().and_then(key),
-            patience: patience.min(facts.deadline),
-            work: text(WEIGHT_HINT).and_then(|v| v.trim().parse().ok()),
-            repeat: text(REPEAT) == Some("1"),
-        };
+        let (class, patience) = (*class, patience.min(facts.deadline));
+        let key = head.uri.query().and_then(key);
+        let work = text(WEIGHT_HINT).and_then(|v| v.trim().parse().ok());
+        let repeat = text(REPEAT) == Some("1");
         let body = collect(body, late).await?;
-        let call = Call { method: head.method, target: head.uri, headers: forwarded(head.headers), body };
-        Ok(Inbound { request, arrived, call })
+        let headers = forwarded(head.headers);
+        let call = Rc::new(Call { method: head.method, target: head.uri, headers, body });
+        let conduct = Conduct::Carried(call);
+        Ok((Arrival { class, tenant, key, arrived, patience, work, repeat, conduct }, id))
     }
 }
 
-/// Tells the driver when a client leaves while its request is open: its connection then drops the answer's
+/// Tells the engine when a client leaves while its request is open: its connection then drops the answer's
 /// future.
 struct Guard<'a> {
     handle: &'a Handle,
@@ -353,7 +363,7 @@
 impl Drop for Guard<'_> {
     fn drop(&mut self) {
         if !self.answered {
-            self.handle.tell(Message::ClientGone(self.request));
+            self.handle.client_gone(self.request);
         }
     }
 }
@@ -365,8 +375,7 @@
 }
 
 impl<'a> OpenId<'a> {
-    fn claim(ids: &'a RefCell<FxHashSet<HeaderValue>>, headers: &HeaderMap) -> Option<Self> {
-        let id = headers.get(CORRELATION_ID)?.clone();
+    fn claim(ids: &'a RefCell<FxHashSet<HeaderValue>>, id: HeaderValue) -> Option<Self> {
         let is_new = ids.borrow_mut().insert(id.clone());
         is_new.then(|| Self { ids, id })
     }
--- a/crates/proxy/src/discovery.rs
+++ b/crates/proxy/src/discovery.rs
@@ -1,12 +1,12 @@
 //! Discovery: the whole list, then a watch for changes; names to numbers.
 
 use crate::backends::Listed;
-use crate::clock::Clock;
-use crate::driver::{Handle, Message, Scope};
+use crate::carrier::{Handle, Scope, tell_list};
 use crate::log::log;
 use crate::names::Names;
 use bytes::Bytes;
 use haventrack_decision::api::{Backend, BackendId, Readiness};
+use haventrack_engine::shell::clock::Clock;
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::{HOST, HeaderValue};
@@ -261,7 +261,7 @@
         );
         self.fallback = entries.iter().any(|e| e.backend.readiness == Readiness::Ready);
         // Also where nothing is known: the module asks for changes when it is told so.
-        self.handle.tell(Message::Listed(Scope::Cached, entries));
+        tell_list(&self.handle, Scope::Cached, &entries);
     }
 
     /// Follows discovery for as long as the proxy runs, at whatever address it is.
@@ -309,7 +309,7 @@
 
     async fn wait_for_call(&mut self) {
         if let Some(asked) = &mut self.asked {
-            // The driver ends only with the process.
+            // The engine ends only with the process.
             if asked.recv().await.is_none() {
                 std::future::pending::<()>().await;
             }
@@ -321,9 +321,9 @@
         self.revision = Some(list.revision);
         self.held.set(true);
         if list.complete {
-            self.handle.tell(Message::Listed(Scope::Full, list.entries));
+            tell_list(&self.handle, Scope::Full, &list.entries);
         } else if !list.entries.is_empty() {
-            self.handle.tell(Message::Listed(Scope::Delta, list.entries));
+            tell_list(&self.handle, Scope::Delta, &list.entries);
         }
     }
 
@@ -334,7 +334,7 @@
             self.held.set(true);
         }
         if self.asked.is_some() {
-            return self.handle.tell(Message::Listed(Scope::Failed, Vec::new()));
+            return tell_list(&self.handle, Scope::Failed, &Vec::new());
         }
         sleep(FIRST_BACKOFF * (1 << failures.min(MOST_DOUBLINGS))).await;
     }
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -1,13 +1,13 @@
 //! One real proxy: start-up, signals, exit code.
 #![forbid(unsafe_code)]
 
-use haventrack_decision::balancer::Balancer;
+use haventrack_engine::engine::{Bounds, Engine};
+use haventrack_engine::shell::clock::Clock;
 use haventrack_proxy::backends::Fleet;
+use haventrack_proxy::carrier::{Carrier, Handle};
 use haventrack_proxy::clients::{Clients, Phase};
-use haventrack_proxy::clock::Clock;
 use haventrack_proxy::config::Config;
 use haventrack_proxy::discovery::{Translator, Watcher};
-use haventrack_proxy::driver::{Driver, Limits};
 use haventrack_proxy::log::log;
 use std::cell::Cell;
 use std::error::Error;
@@ -28,6 +28,8 @@
 const DRAIN_LEAST: Duration = Duration::from_millis(800);
 const DRAIN_QUIET: Duration = Duration::from_millis(300);
 const DRAIN_STEP: Duration = Duration::from_millis(50);
+/// Requests that may be open for each client connection that there may be. Attempts of clients that have left go on.
+const OPEN_PER_CLIENT: usize = 8;
 /// What the proxy takes beyond the longest deadline before it ends with clients still connected.
 const DRAIN_SLACK: Duration = Duration::from_millis(500);
 
@@ -72,8 +74,6 @@
     let settings = config.settings;
     let longest = settings.classes.iter().map(|c| c.deadline).max().unwrap_or_default();
     let asked = settings.discovery_on_request;
-    let limits =
-        Limits { max_attempts: settings.permissions.max_attempts, report_by_probe: settings.report_by_probe };
     let fleet = Fleet::new(
         config.backend_sockets,
         config.large_answers,
@@ -83,9 +83,12 @@
     );
     let listener = listen(config.listen).map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
     log(format_args!("{} listens on {}", config.name, listener.local_addr()?));
-    let balancer = Balancer::new(settings.clone(), config.seed, clock.now())?;
+    // Each client connection carries one request, and one whose client has left may run on for a while.
+    let bounds = Bounds { requests: config.client_sockets * OPEN_PER_CLIENT, leases: 0 };
+    let engine = Engine::new(settings.clone(), bounds, config.seed, config.seed ^ clock.now(), clock.now())?;
     let (subscribe, subscriptions) = mpsc::unbounded_channel();
-    let (driver, handle) = Driver::new(balancer, clock, Rc::clone(&fleet), limits, subscribe);
+    let report_by_probe = settings.report_by_probe;
+    let handle = Handle::new(engine, clock, Carrier { fleet: Rc::clone(&fleet), subscribe, report_by_probe });
     let held = Rc::new(Cell::new(false));
     let translator = Translator::new(clock, &config.names);
     let subscriptions = asked.then_some(subscriptions);
@@ -93,16 +96,17 @@
     let mut watcher = Watcher::new(addresses, translator, handle.clone(), Rc::clone(&held), subscriptions);
     watcher.start_from(config.known);
     let (phase, phases) = watch::channel(Phase::Running);
-    let clients = Clients::new(handle, clock, &settings, &config.names, held, phases, config.client_sockets);
+    let clients =
+        Clients::new(handle.clone(), clock, &settings, &config.names, held, phases, config.client_sockets);
 
     let Signals { mut stop, reload } = signals;
     tokio::task::spawn_local(follow_configuration(reload, discovery));
-    let driver = tokio::task::spawn_local(driver.run());
+    let engine = tokio::task::spawn_local(handle.run());
     tokio::task::spawn_local(watcher.run());
     tokio::task::spawn_local(fleet.sweep());
     tokio::task::spawn_local(Rc::clone(&clients).accept(listener));
     tokio::select! {
-        ended = driver => Err(format!("the driver ended: {ended:?}").into()),
+        ended = engine => Err(format!("the engine ended: {ended:?}").into()),
         _ = stop.recv() => {
             drain(&clients, &phase, Duration::from_micros(longest)).await;
             Ok(())
--- a/crates/simhost/src/wire.rs
+++ b/crates/simhost/src/wire.rs
@@ -104,6 +104,7 @@
             patience: Micros::from(patience),
             work: work.map(Micros::from),
             repeat,
+            carried: true,
         })
     }
 }
--- a/test.sh
+++ b/test.sh
@@ -5,6 +5,9 @@
 # Lines that are not blank in all files that hold decisions, and the longest line's characters.
 readonly MOST_LINES=1200 MOST_WIDTH=110
 
+# The same random steps at every run; another number looks elsewhere.
+export PROPTEST_RNG_SEED="${PROPTEST_RNG_SEED:-20261201}"
+
 cargo fmt --check
 cargo clippy --locked --workspace --all-targets -- -D warnings
 cargo test --locked --workspace
