--- a/crates/decision/src/balancer.rs
+++ b/crates/decision/src/balancer.rs
@@ -14,6 +14,7 @@
     Attempt, AttemptState, Bucket, ColdBudget, CommonLimit, Latency, Open, PeakRate, Pool, Requests, Scope,
     Server, Servers, Window,
 };
+use std::ops::Range;
 
 const SECOND: Micros = 1_000_000;
 /// The shortest window: limits follow a load that changes within seconds.
@@ -83,6 +84,9 @@
 const OVER_SHARE_LIMIT: f64 = 0.6;
 /// Part of what tips a cold server over that all proxies together may send it.
 const COLD_MARGIN: f64 = 0.3;
+/// Ready servers above which a request looks at a sample of them, and how many it draws.
+const SAMPLE_ABOVE: usize = 256;
+const SAMPLE: usize = 64;
 /// A crossing of zones that costs less than this part of a request's worth counts as free.
 const FREE_CROSSING: f64 = 0.01;
 /// Weight of one more latency in the averages of a class.
@@ -109,6 +113,8 @@
     servers: Servers,
     /// The servers that may be sent to. Rule 3: a draining or gone server is not in here.
     ready: Vec<usize>,
+    /// Those in `ready` that are near; all where none is.
+    own: Range<usize>,
     open: Requests,
     held: Vec<usize>,
     in_flight: u32,
@@ -146,6 +152,7 @@
             rng: fastrand::Rng::with_seed(seed),
             servers: Servers::default(),
             ready: Vec::new(),
+            own: 0..0,
             open: Requests::default(),
             held: Vec::new(),
             in_flight: 0,
@@ -214,6 +221,11 @@
         self.ready.clear();
         self.ready.extend((0..self.servers.len()).filter(|&s| self.servers[s].ready));
         self.place_dithers();
+        let (zone, servers) = (self.settings.zone, &self.servers);
+        let first = self.ready.partition_point(|&s| servers[s].zone < zone);
+        let end = self.ready.partition_point(|&s| servers[s].zone <= zone);
+        let free = self.settings.cross_zone_price <= FREE_CROSSING;
+        self.own = if free || first == end { 0..self.ready.len() } else { first..end };
         self.serve_held(now, out);
     }
 
@@ -496,7 +508,9 @@
             as Micros
     }
 
-    /// The server with the greatest room, in the own zone first.
+    /// The server with the greatest room, in the own zone first. Departure: on a large fleet a request looks
+    /// at a sample, of the near servers and then, where none of those has room, of all. A fleet with room on
+    /// one server in ten is missed once in 800 times; the request is then held, and looks again.
     fn pick(&mut self, now: Micros, slot: usize) -> Option<usize> {
         let open = &self.open[slot];
         let scope = self.scope(now, open);
@@ -512,8 +526,14 @@
         let repeatable = self.settings.classes[open.class].effect != Effect::Unsafe;
         let mut best: [Option<(i64, usize)>; 2] = [None, None];
         let mut ties = [0_u32; 2];
-        for i in 0..self.ready.len() {
-            let index = self.ready[i];
+        let sampled = scope == Scope::Anywhere && self.ready.len() > SAMPLE_ABOVE;
+        for look in 0..if sampled { 2 * SAMPLE } else { self.ready.len() } {
+            let index = match sampled {
+                false => self.ready[look],
+                true if look < SAMPLE => self.ready[self.rng.usize(self.own.clone())],
+                true if best[0].is_some() => break,
+                true => self.ready[self.rng.usize(0..self.ready.len())],
+            };
             let server = &self.servers[index];
             let in_scope = match scope {
                 Scope::Zone(zone) => server.zone == zone,
@@ -834,6 +854,7 @@
     /// limit: each of many proxies holds a slot on few servers, and the limits of the others would freeze.
     fn judge_kind(&mut self, now: Micros, kind: usize, sample: f64) {
         let common = &mut self.kinds[kind];
+        let before = common.limit;
         common.window.add(sample);
         let age = now - common.window.since;
         if common.window.count < MIN_REQUESTS || (!common.growing && age < WINDOW) {
@@ -848,6 +869,9 @@
         common.limit = common.limit.clamp(MIN_LIMIT, MAX_LIMIT);
         let limit = common.limit;
         common.window = Window { since: now, ..Window::default() };
+        if limit == before && self.servers.len() > SAMPLE_ABOVE {
+            return;
+        }
         for i in 0..self.servers.len() {
             let share = self.share(&self.servers[i]);
             let server = &mut self.servers[i];
--- a/crates/decision/tests/module.rs
+++ b/crates/decision/tests/module.rs
@@ -498,3 +498,24 @@
     proxy.settle(id, attempt, Outcome::Error);
     proxy.advance(3 * SECOND);
 }
+
+#[test]
+fn on_a_large_fleet_a_sample_finds_room_near_first_and_spreads_the_load() {
+    let mut proxy = Proxy::new(settings(), (0..1_000).map(backend));
+    let near: Vec<BackendId> = (0..400).filter_map(|id| sent_to(&proxy.request(request(id, 0)))).collect();
+    assert_eq!(near.len(), 400, "none is held");
+    assert!(near.iter().all(|id| id % 2 == 0), "the own zone has room");
+    let most = near.iter().map(|&id| proxy.in_flight(id)).max();
+    assert!(most <= Some(2), "{most:?} on one server");
+    // Where the own zone drains away, the other one is found by the second look.
+    let left: Vec<Backend> =
+        (0..500).map(|half| Backend { readiness: Readiness::Draining, ..backend(half * 2) }).collect();
+    proxy.list(Membership::Delta(&left));
+    let far = sent_to(&proxy.request(request(1_000, 0)));
+    assert!(far.is_some_and(|id| id % 2 == 1), "{far:?}");
+    // A repeat goes to its cell, which no sample would find.
+    let keyed = sent_to(&proxy.request(request(1_001, 4))).expect("there is room");
+    proxy.settle(1_001, 0, Outcome::Reset);
+    let second = proxy.requests[&1_001].attempts.get(1).map(|a| a.backend);
+    assert!(second.is_some_and(|id| backend(id).cell == backend(keyed).cell && id != keyed), "{second:?}");
+}
