Spend fewer system calls and copies on a request

Change: the socket's own read and write, names looked at instead of taken out, a task only where it has to wait.

--- a/crates/proxy/src/backends.rs
+++ b/crates/proxy/src/backends.rs
@@ -78,8 +78,11 @@
 type Ended = haventrack_engine::engine::Ended<Served>;
 
 /// A connection's socket, with a count of the bytes that it took.
+///
+/// The socket is read and written through its own implementation: it knows that a read which did not fill the buffer
+/// has emptied the kernel's, so that no second call is made only to be told so, and clears no buffer beforehand.
 struct Wire {
-    stream: TcpStream,
+    stream: RefCell<TcpStream>,
     written: Cell<u64>,
 }
 
@@ -88,12 +91,17 @@
     /// runtime may not have seen yet what the kernel knows already, so the socket itself is asked.
     fn is_quiet(&self) -> bool {
         let mut byte = [MaybeUninit::uninit()];
-        let peeked = socket2::SockRef::from(&self.stream).peek(&mut byte);
+        let peeked = socket2::SockRef::from(&*self.stream.borrow()).peek(&mut byte);
         peeked.is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
     }
 
-    fn wrote<T: Into<u64>>(&self, bytes: T) {
-        self.written.set(self.written.get() + bytes.into());
+    fn poll_counted(
+        &self,
+        poll: impl FnOnce(Pin<&mut TcpStream>) -> Poll<io::Result<usize>>,
+    ) -> Poll<io::Result<usize>> {
+        let written = ready!(poll(Pin::new(&mut *self.stream.borrow_mut())))?;
+        self.written.set(self.written.get() + written as u64);
+        Poll::Ready(Ok(written))
     }
 }
 
@@ -102,43 +110,13 @@
 
 impl AsyncRead for WireIo {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
-        loop {
-            ready!(self.0.stream.poll_read_ready(cx))?;
-            match self.0.stream.try_read(buf.initialize_unfilled()) {
-                Ok(read) => {
-                    buf.advance(read);
-                    return Poll::Ready(Ok(()));
-                }
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-                Err(e) => return Poll::Ready(Err(e)),
-            }
-        }
-    }
-}
-
-impl WireIo {
-    fn poll_with(
-        &self,
-        cx: &mut Context<'_>,
-        write: impl Fn(&TcpStream) -> io::Result<usize>,
-    ) -> Poll<io::Result<usize>> {
-        loop {
-            ready!(self.0.stream.poll_write_ready(cx))?;
-            match write(&self.0.stream) {
-                Ok(written) => {
-                    self.0.wrote(written as u64);
-                    return Poll::Ready(Ok(written));
-                }
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-                Err(e) => return Poll::Ready(Err(e)),
-            }
-        }
+        Pin::new(&mut *self.0.stream.borrow_mut()).poll_read(cx, buf)
     }
 }
 
 impl AsyncWrite for WireIo {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        self.poll_with(cx, |stream| stream.try_write(buf))
+        self.0.poll_counted(|stream| stream.poll_write(cx, buf))
     }
 
     fn poll_write_vectored(
@@ -146,7 +124,7 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        self.poll_with(cx, |stream| stream.try_write_vectored(bufs))
+        self.0.poll_counted(|stream| stream.poll_write_vectored(cx, bufs))
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -157,8 +135,8 @@
         Poll::Ready(Ok(()))
     }
 
-    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(socket2::SockRef::from(&self.0.stream).shutdown(std::net::Shutdown::Write))
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut *self.0.stream.borrow_mut()).poll_shutdown(cx)
     }
 }
 
@@ -250,6 +228,13 @@
 }
 
 impl Server {
+    /// Keeps a connection that is free, unless it is of an earlier life.
+    fn rest(&self, conn: Conn) {
+        if self.life.get() == conn.life {
+            self.idle.borrow_mut().push(Idle { conn, since: Instant::now() });
+        }
+    }
+
     /// It is gone: nothing new goes there, and no connection is kept, not even those that are still in use.
     fn depart(&self) {
         self.ready.set(false);
@@ -387,7 +372,7 @@
         let connecting = timeout_at(until, TcpStream::connect(server.address.get())).await;
         let stream = connecting.map_err(|_| NoConn::Backends)??;
         stream.set_nodelay(true)?;
-        let wire = Rc::new(Wire { stream, written: Cell::new(0) });
+        let wire = Rc::new(Wire { stream: RefCell::new(stream), written: Cell::new(0) });
         let io = TokioIo::new(WireIo(Rc::clone(&wire)));
         let handshake = http1::Builder::new().max_buf_size(ANSWER_HEAD_CAP).handshake(io).await;
         let (sender, connection) = handshake.map_err(|_| NoConn::Backends)?;
@@ -400,11 +385,14 @@
 
     /// Keeps a connection for the next attempt once it is free again.
     fn keep(self: &Rc<Self>, server: &Rc<Server>, mut conn: Conn) {
+        if conn.sender.is_ready() {
+            return server.rest(conn);
+        }
         let server = Rc::clone(server);
         tokio::task::spawn_local(async move {
             let free = timeout(SETTLE_TIMEOUT, conn.sender.ready()).await;
-            if matches!(free, Ok(Ok(()))) && server.life.get() == conn.life {
-                server.idle.borrow_mut().push(Idle { conn, since: Instant::now() });
+            if matches!(free, Ok(Ok(()))) {
+                server.rest(conn);
             }
         });
     }
--- a/crates/proxy/src/clients.rs
+++ b/crates/proxy/src/clients.rs
@@ -400,6 +400,20 @@
     Ok(collected.to_bytes())
 }
 
+/// Headers that speak of one connection or of a message's framing.
+const HOP: [HeaderName; 10] = [
+    header::CONNECTION,
+    header::CONTENT_LENGTH,
+    header::EXPECT,
+    header::PROXY_AUTHORIZATION,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+    HeaderName::from_static("keep-alive"),
+    HeaderName::from_static("proxy-connection"),
+];
+
 /// The headers that go on: all but those that speak of this one connection or of the message's framing.
 fn forwarded(mut headers: HeaderMap) -> HeaderMap {
     let named = headers.get_all(header::CONNECTION).iter().filter_map(|v| v.to_str().ok());
@@ -408,18 +422,8 @@
     for name in named.iter().filter(|name| **name != CORRELATION_ID && **name != IDEMPOTENCY_KEY) {
         headers.remove(name);
     }
-    let hop = [
-        header::CONNECTION,
-        header::CONTENT_LENGTH,
-        header::EXPECT,
-        header::PROXY_AUTHORIZATION,
-        header::TE,
-        header::TRAILER,
-        header::TRANSFER_ENCODING,
-        header::UPGRADE,
-        HeaderName::from_static("keep-alive"),
-        HeaderName::from_static("proxy-connection"),
-    ];
+    // Few heads hold any of them; looking is cheaper than taking out what is not there.
+    let hop: Vec<HeaderName> = headers.keys().filter(|name| HOP.contains(name)).cloned().collect();
     for name in hop {
         headers.remove(name);
     }
