Draw classes and describe boxes in one place for both modes of the rig

Need: virtual time and sockets each had a copy of the draw of a class by its share and of what a box is; a change to one would have made the same script mean two things. Change: Script::draw_class and Script::box_spec serve both. Nothing in the product was touched.

--- a/crates/rig/src/script.rs
+++ b/crates/rig/src/script.rs
@@ -1,5 +1,6 @@
 //! Fault scripts: a fleet, its traffic, and at what second which part of it has what trouble. TOML.
 
+use crate::model::BoxSpec;
 use haventrack_decision::api::Micros;
 use serde::Deserialize;
 use serde_json::{Value, json};
@@ -306,6 +307,28 @@
         all
     }
 
+    /// A class by chance, each as often as its share says.
+    #[must_use]
+    pub fn draw_class(&self, rng: &mut fastrand::Rng) -> usize {
+        let mut draw = rng.f64() * self.class.iter().map(|c| c.share).sum::<f64>();
+        let class = self.class.iter().position(|c| {
+            draw -= c.share;
+            draw < 0.0
+        });
+        class.unwrap_or(0)
+    }
+
+    /// What each box is.
+    #[must_use]
+    pub fn box_spec(&self) -> BoxSpec {
+        BoxSpec {
+            cores: self.fleet.cores,
+            holds: (self.fleet.cores * self.fleet.holds).ceil() as usize,
+            cold_from: self.fleet.cold_from,
+            cold_time: micros(self.fleet.cold_s),
+        }
+    }
+
     /// The zone of a box or of a proxy.
     #[must_use]
     pub fn zone(&self, index: usize) -> u16 {
--- a/crates/rig/src/sockets/boxes.rs
+++ b/crates/rig/src/sockets/boxes.rs
@@ -3,8 +3,8 @@
 use super::Shared;
 use crate::http1::{self, Message};
 use crate::judge::Seen;
-use crate::model::{Arrived, BoxModel, BoxSpec};
-use crate::script::{Trouble, What, micros};
+use crate::model::{Arrived, BoxModel};
+use crate::script::{Trouble, What};
 use haventrack_decision::api::Micros;
 use rustc_hash::FxHashMap;
 use std::cell::{Cell, RefCell};
@@ -50,7 +50,7 @@
     pub(crate) fn start(shared: &Rc<Shared>, index: usize) -> io::Result<Rc<Self>> {
         let (high, low) = (index / 200, index % 200);
         let listener = listen(SocketAddr::from(([127, 0, 10 + high as u8, 1 + low as u8], 0)))?;
-        let model = BoxModel::new(spec(shared), shared.now(), None);
+        let model = BoxModel::new(shared.script.box_spec(), shared.now(), None);
         let stand_in = Rc::new(Self {
             shared: Rc::clone(shared),
             index,
@@ -231,19 +231,9 @@
             return;
         }
         let now = self.shared.now();
-        *self.model.borrow_mut() = Some(BoxModel::new(spec(&self.shared), now, Some(now)));
+        *self.model.borrow_mut() = Some(BoxModel::new(self.shared.script.box_spec(), now, Some(now)));
         self.started.set(Some(now));
         self.shared.saw(Seen::Started { at_box: self.index });
         self.life.send_modify(|life| *life += 1);
     }
 }
-
-fn spec(shared: &Shared) -> BoxSpec {
-    let fleet = &shared.script.fleet;
-    BoxSpec {
-        cores: fleet.cores,
-        holds: (fleet.cores * fleet.holds).ceil() as usize,
-        cold_from: fleet.cold_from,
-        cold_time: micros(fleet.cold_s),
-    }
-}
--- a/crates/rig/src/sockets/clients.rs
+++ b/crates/rig/src/sockets/clients.rs
@@ -97,12 +97,7 @@
     fn draw(&self, id: u64) -> Ask {
         let script = &self.shared.script;
         let mut rng = self.rng.borrow_mut();
-        let mut draw = rng.f64() * script.class.iter().map(|c| c.share).sum::<f64>();
-        let class = script.class.iter().position(|c| {
-            draw -= c.share;
-            draw < 0.0
-        });
-        let class = class.unwrap_or(0);
+        let class = script.draw_class(&mut rng);
         let [from, to] = script.class[class].work_ms;
         let work = micros((from + rng.f64() * (to - from)) / 1e3);
         self.shared.work.borrow_mut().insert(id, work);
--- a/crates/rig/src/virtual_time.rs
+++ b/crates/rig/src/virtual_time.rs
@@ -2,7 +2,7 @@
 //! leases. The same script and seed give the same day to the last event.
 
 use crate::judge::{Got, Judgement, Record, Seen, judge};
-use crate::model::{Arrived, BoxModel, BoxSpec};
+use crate::model::{Arrived, BoxModel};
 use crate::script::{Script, What, micros};
 use haventrack_decision::api::{
     Backend, BackendId, Membership, Micros, Outcome, Readiness, RequestId, SettingsError,
@@ -132,7 +132,6 @@
     record: Record,
     discovery_down: u32,
     unsaid: Vec<Event>,
-    shares: f64,
 }
 
 /// Plays a day.
@@ -189,7 +188,7 @@
 impl<'a> World<'a> {
     fn new(script: &'a Script) -> Result<Self, SettingsError> {
         let rng = fastrand::Rng::with_seed(script.seed);
-        let spec = spec(script);
+        let spec = script.box_spec();
         let boxes = (0..script.fleet.boxes).map(|_| Wire {
             model: Some(BoxModel::new(spec, START, None)),
             due: Micros::MAX,
@@ -219,7 +218,6 @@
             record: Record::default(),
             discovery_down: 0,
             unsaid: Vec::new(),
-            shares: script.class.iter().map(|c| c.share).sum(),
         };
         let list: Vec<Backend> = (0..script.fleet.boxes).map(|b| world.entry(b)).collect();
         for proxy in 0..world.proxies.len() {
@@ -286,12 +284,7 @@
         }
         let gap = -(1.0 - self.rng.f64()).ln() / traffic.per_s;
         self.after(micros(gap), Event::Ask);
-        let mut draw = self.rng.f64() * self.shares;
-        let class = self.script.class.iter().position(|c| {
-            draw -= c.share;
-            draw < 0.0
-        });
-        let class = class.unwrap_or(0);
+        let class = self.script.draw_class(&mut self.rng);
         let spec = &self.script.class[class];
         let work = spec.work_ms[0] + self.rng.f64() * (spec.work_ms[1] - spec.work_ms[0]);
         let tenants = traffic.tenants.max(1);
@@ -575,7 +568,7 @@
     }
 
     fn start(&mut self, at_box: usize) {
-        let (spec, now) = (spec(self.script), self.now);
+        let (spec, now) = (self.script.box_spec(), self.now);
         let at = &mut self.boxes[at_box];
         if at.model.is_some() {
             return;
@@ -586,12 +579,3 @@
         self.tell_all(at_box);
     }
 }
-
-fn spec(script: &Script) -> BoxSpec {
-    BoxSpec {
-        cores: script.fleet.cores,
-        holds: (script.fleet.cores * script.fleet.holds).ceil() as usize,
-        cold_from: script.fleet.cold_from,
-        cold_time: micros(script.fleet.cold_s),
-    }
-}
