Keep Lmax at a twentieth of the aim at least, so that low limits don't hold themselves down

Cause: limits.rs, `lmax`. Limits fall for a wait of some milliseconds; what they refuse puts Lmax at 1.8 times the uncrowded latency; so they stay down although servers and aims have room for hundreds of milliseconds. Lost answers, which hold a slot for a quarter of the aim, then take most of the ten slots. Ruled out: servers (n0 served everything), ejections (five in twenty seconds), CPU (0.18 s in the worst second of 0.3), shares (none was over its share). Now Lmax is a twentieth of the aim at least. The new test fails without the floor.

--- a/crates/decision/src/balancer/limits.rs
+++ b/crates/decision/src/balancer/limits.rs
@@ -17,15 +17,15 @@
 const LARGE_STEP: f64 = 0.15;
 /// A server without a slot and without a judged window for this long takes its kind's limit.
 const UNSAMPLED_AFTER: Micros = 2 * SECOND;
-/// Lmax as a multiple of the latency that a class shows uncrowded. Departure: while requests are refused for
-/// want of room queues stand and earn nothing, and Lmax is the first; where none is refused they are bursts
-/// that drain by themselves, and Lmax is the second. Between, by the part refused.
+/// Lmax as a multiple of a class's uncrowded latency. Departure: the first while requests are refused for
+/// want of room (queues stand), the second where none is (they drain); between, by the part refused.
 const LMAX_OVER_BASE: (f64, f64) = (1.8, 6.0);
 /// The part of the requests refused at which queues stand, and the weight of one more request in that part.
 pub(super) const STANDING: f64 = 0.1;
 pub(super) const REFUSED_WEIGHT: f64 = 1.0 / 64.0;
-/// Lmax as a part of the class's aim, at most: limits have to fall before aims are missed.
-const LMAX_OVER_AIM: f64 = 0.3;
+/// Lmax as a part of the class's aim, at least: a shorter wait costs nothing, and limits that fall for it
+/// refuse more, which keeps them low. At most: limits have to fall before aims are missed.
+const LMAX_OVER_AIM: (f64, f64) = (0.05, 0.3);
 /// Limits of all proxies together for one server: the first one, the bounds. The start must not starve large
 /// servers; the floor keeps samples coming.
 pub(super) const INITIAL_LIMIT: f64 = 1.5;
@@ -159,6 +159,6 @@
     pub(super) fn lmax(&self, aim: f64, refused: f64) -> f64 {
         let (standing, draining) = LMAX_OVER_BASE;
         let over_base = draining + (standing - draining) * (refused / STANDING).min(1.0);
-        (self.base * over_base).min(aim * LMAX_OVER_AIM)
+        (self.base * over_base).clamp(aim * LMAX_OVER_AIM.0, aim * LMAX_OVER_AIM.1)
     }
 }
--- a/crates/decision/tests/module.rs
+++ b/crates/decision/tests/module.rs
@@ -331,6 +331,22 @@
     assert_eq!(refused(&proxy), before, "the flood is over and forgotten");
 }
 
+/// Booking of orders, rate+silent+leave: of two proxies one refused half of its requests for the whole day. Work of a
+/// few milliseconds waited for ten, limits fell for it to the least, what they refused held Lmax down, and so on.
+#[test]
+fn limits_that_fell_for_waits_that_cost_nothing_do_not_stay_low_by_what_they_refuse() {
+    let mut settings = single_zone();
+    (settings.classes[0].aim, settings.classes[0].deadline) = (2 * SECOND, 5 * SECOND);
+    let mut proxy = Proxy::new(settings, one_zone(2));
+    load(&mut proxy, 0, 300, 1, |_| 10 * MS);
+    load(&mut proxy, 1_000, 300, 4, |_| 90 * MS);
+    let refused =
+        |proxy: &Proxy| proxy.log.iter().filter(|(_, a)| matches!(a, Action::Refuse { .. })).count();
+    let before = refused(&proxy);
+    load(&mut proxy, 10_000, 500, 4, |_| 90 * MS);
+    assert_eq!(refused(&proxy), before, "eighteen at a time on a server, all within a twentieth of the aim");
+}
+
 /// Booking of orders: nearly all that was refused on a day of half load was held to be beyond a share, often
 /// wrongly, and had not been held for a moment.
 #[test]
