External processor: a desk before the engine's leases, over ext_proc and a plain service

Change: crate extproc: desk.rs decides without I/O who holds a request, who is told what and what is withdrawn when a caller vanishes; question.rs and settings.rs read what comes from outside; envoy.rs follows one ext_proc stream; plain.rs and a .proto of our own carry Decide, Report, Renew and a stream of the three; bridge.rs and server.rs keep the services on a thread of their own. The engine's words reach it through engine::outside. The claims table is shared with the HTTP front (proxy::claim). The program moved to crates/program, since it stands above both fronts.

--- a/crates/engine/src/claims.rs
+++ b/crates/engine/src/claims.rs
@@ -8,8 +8,10 @@
 use haventrack_decision::api::Micros;
 use rustc_hash::FxHashMap;
 use slab::Slab;
+use std::cell::RefCell;
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
+use std::rc::Rc;
 use thiserror::Error;
 
 /// The longest id or key, in bytes: what a header of this protocol holds, with room to spare.
@@ -63,6 +65,40 @@
     Perhaps,
 }
 
+/// Which kind of front a claim's final answer came from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Front {
+    /// This process carried the attempts.
+    Carried,
+    /// A caller outside made them.
+    Outside,
+}
+
+/// A final answer as it is remembered, without its body.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// A backend's answer reached whoever asked.
+    Served,
+    /// Turned away: nothing has run, and trying again from this time on is harmless.
+    Refused(Micros),
+    /// Failed, with no promise of its effect.
+    Failed,
+    /// Whoever held it has vanished: it may have run.
+    Unknown,
+}
+
+/// What is remembered of a claim.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Remembered {
+    /// Who had it.
+    pub front: Front,
+    /// How it ended.
+    pub end: End,
+}
+
+/// The claims that all fronts of a process share. They live on the engine's thread.
+pub type Shared = Rc<RefCell<Claims<Remembered>>>;
+
 struct Entry<A> {
     serial: u64,
     since: Micros,
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -8,5 +8,6 @@
 pub mod claims;
 pub mod engine;
 pub mod lease;
+pub mod outside;
 pub mod shell;
 mod timers;
--- /dev/null
+++ b/crates/extproc/tests/counter/mod.rs
@@ -0,0 +1,408 @@
+//! The desk and the real engine between scripted callers and boxes. It keeps a record of its own of what may have run
+//! and of what was answered, and believes neither.
+
+use haventrack_decision::api::*;
+use haventrack_engine::claims::Claims;
+use haventrack_engine::engine::{Arrival, Bounds, Command, Conduct, Ended, Engine, Exchange};
+use haventrack_engine::lease::{LeaseError, LeaseId};
+use haventrack_engine::outside::{Ticket, Word};
+use haventrack_extproc::desk::{self, Asked, CallerId, Desk, Port, Reply, Report};
+use std::cell::RefCell;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+pub const MS: Micros = 1_000;
+pub const SECOND: Micros = 1_000_000;
+pub const MEMORY: Micros = 3 * SECOND;
+pub const PER_CALLER: usize = 200;
+
+#[derive(Debug, PartialEq)]
+pub struct Nothing;
+
+impl Exchange for Nothing {
+    type Work = ();
+    type Reply = Ticket;
+    type Payload = ();
+}
+
+fn class(effect: Effect) -> Class {
+    Class { aim: 500 * MS, aim_stretch: 0.0, deadline: 2 * SECOND, worth: 1.0, late_worth: 0.5, effect }
+}
+
+fn settings() -> Settings {
+    let keyed = Effect::Keyed { group: DedupGroup::Cell, ttl: MEMORY };
+    Settings {
+        me: 0,
+        balancers: 1,
+        zone: 0,
+        zones: 1,
+        kinds: 1,
+        discovery_on_request: false,
+        warm_keys: false,
+        classes: vec![class(Effect::Safe), class(Effect::Unsafe), class(keyed)],
+        tenants: Vec::new(),
+        over_share_worth: 0.1,
+        cross_zone_price: 0.0,
+        probe_price: 0.0,
+        report: ReportFields::default(),
+        report_by_probe: false,
+        permissions: Permissions {
+            max_attempts: 4,
+            second_copies: false,
+            cancel: true,
+            probes: false,
+            conn_idle: 5 * SECOND,
+            multiplex: 1,
+            retry_after: Some(SECOND),
+        },
+        safety: Safety {
+            ask_within: 10 * SECOND,
+            cold_from: 0.3,
+            cold_time: 8 * SECOND,
+            fall_multiple: 3.0,
+            fall_time: 2 * SECOND,
+        },
+    }
+}
+
+fn listed(id: BackendId, readiness: Readiness) -> Backend {
+    Backend { id, zone: 0, kind: 0, cell: (id / 3) as u16, readiness, started: None }
+}
+
+fn endpoint(id: BackendId) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 10_000 + id as u16))
+}
+
+/// The engine as the desk's port; the clock is the counter's. As in the shell, what a call causes is said at once.
+struct At<'a>(&'a mut Engine<Nothing>, Micros, &'a mut VecDeque<Word>);
+
+impl At<'_> {
+    fn hear(&mut self) {
+        while let Some(command) = self.0.next_command() {
+            let ticket = |request| self.0.reply(request).copied();
+            let word = match command {
+                Command::Grant(grant) => ticket(grant.request).map(|ticket| Word::Granted(ticket, grant)),
+                Command::Revoke { request, lease } => {
+                    ticket(request).map(|ticket| Word::Revoked(ticket, lease))
+                }
+                Command::Answer { reply, verdict, .. } => Some(Word::Answered(reply, verdict)),
+                _ => None,
+            };
+            self.2.extend(word);
+        }
+    }
+}
+
+macro_rules! at {
+    ($counter:ident) => {
+        &mut At(&mut $counter.engine, $counter.now, &mut $counter.words)
+    };
+}
+
+impl Port for At<'_> {
+    fn admit(&mut self, request: &desk::Request, ticket: Ticket) -> Option<RequestId> {
+        let arrival = Arrival {
+            class: request.class,
+            tenant: request.tenant,
+            key: request.about,
+            arrived: request.arrived,
+            patience: request.patience,
+            work: request.work,
+            repeat: request.repeat,
+            conduct: Conduct::Leased,
+        };
+        let admitted = self.0.admit(self.1, arrival, ticket).ok();
+        self.hear();
+        admitted
+    }
+
+    fn report(&mut self, lease: LeaseId, outcome: Outcome, report: Vec<f32>) -> Result<(), LeaseError> {
+        let taken = self.0.report(self.1, lease, Ended { outcome, payload: None, report });
+        self.hear();
+        taken
+    }
+
+    fn establish(&mut self, lease: LeaseId) -> Result<Micros, LeaseError> {
+        let taken = self.0.establish(self.1, lease).map(|until| until - self.1);
+        self.hear();
+        taken
+    }
+
+    fn renew(&mut self, lease: LeaseId) -> Result<Micros, LeaseError> {
+        self.0.renew(self.1, lease).map(|until| until - self.1)
+    }
+
+    fn client_gone(&mut self, request: RequestId) {
+        self.0.client_gone(self.1, request);
+        self.hear();
+    }
+}
+
+/// One attempt as callers and boxes know it.
+struct Attempt {
+    /// What must not run twice; `None` where that is harmless.
+    what: Option<String>,
+    at: Micros,
+    /// The request among whose attempts the engine itself decides.
+    request: RequestId,
+    never_ran: bool,
+}
+
+pub struct Counter {
+    pub now: Micros,
+    pub engine: Engine<Nothing>,
+    pub desk: Desk,
+    pub revoked: Vec<(u64, LeaseId)>,
+    words: VecDeque<Word>,
+    draining: BTreeSet<BackendId>,
+    questions: BTreeMap<Asked, Option<String>>,
+    replies: BTreeMap<Asked, Vec<Reply>>,
+    gone: BTreeSet<Asked>,
+    attempts: BTreeMap<LeaseId, Attempt>,
+    next_tag: u64,
+}
+
+impl Counter {
+    /// A desk, and an engine that knows so many boxes.
+    pub fn new(boxes: u32) -> Self {
+        let settings = settings();
+        let bounds = Bounds { requests: 10_000, leases: 10_000 };
+        let mut engine = Engine::new(settings.clone(), bounds, 7, 0xfeed, SECOND).expect("good settings");
+        let backends: Vec<_> = (0..boxes).map(|id| listed(id, Readiness::Ready)).collect();
+        engine.membership(SECOND, Membership::Full(&backends));
+        let claims = Rc::new(RefCell::new(Claims::new(10_000)));
+        let bounds = desk::Bounds { per_caller: PER_CALLER, safe_memory: SECOND, unsafe_memory: MEMORY };
+        Self {
+            now: SECOND,
+            engine,
+            desk: Desk::new(&settings, bounds, claims),
+            revoked: Vec::new(),
+            words: VecDeque::new(),
+            draining: BTreeSet::new(),
+            questions: BTreeMap::new(),
+            replies: BTreeMap::new(),
+            gone: BTreeSet::new(),
+            attempts: BTreeMap::new(),
+            next_tag: 1,
+        }
+    }
+
+    // ---- What callers do ----
+
+    pub fn ask(&mut self, caller: u64, class: u8, id: &str) -> Asked {
+        self.ask_with(caller, class, id, None)
+    }
+
+    pub fn ask_keyed(&mut self, caller: u64, id: &str, key: &str) -> Asked {
+        self.ask_with(caller, 2, id, Some(key))
+    }
+
+    pub fn ask_with(&mut self, caller: u64, class: u8, id: &str, key: Option<&str>) -> Asked {
+        self.put(caller, self.request(class, id, key))
+    }
+
+    pub fn ask_and_wait(&mut self, caller: u64, class: u8, id: &str, key: Option<&str>) -> Asked {
+        self.put(caller, desk::Request { wait: true, ..self.request(class, id, key) })
+    }
+
+    pub fn ask_after(&mut self, caller: u64, class: u8, id: &str, key: Option<&str>, old: LeaseId) -> Asked {
+        self.put(caller, desk::Request { prior: Some(old), ..self.request(class, id, key) })
+    }
+
+    pub fn ask_once(&mut self, caller: u64, class: u8, id: &str) -> Asked {
+        let key = (class == 2).then_some(id);
+        self.put(caller, desk::Request { once: true, ..self.request(class, id, key) })
+    }
+
+    fn request(&self, class: u8, id: &str, key: Option<&str>) -> desk::Request {
+        desk::Request {
+            id: id.as_bytes().into(),
+            key: key.map(|key| key.as_bytes().into()),
+            class,
+            tenant: 0,
+            about: None,
+            arrived: self.now,
+            patience: 2 * SECOND,
+            work: None,
+            repeat: false,
+            prior: None,
+            wait: false,
+            once: false,
+        }
+    }
+
+    fn put(&mut self, caller: u64, request: desk::Request) -> Asked {
+        let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).into_owned();
+        let what = match (request.class, &request.key) {
+            (0, _) => None,
+            (_, Some(key)) => Some(format!("key {}", text(key))),
+            (_, None) => Some(format!("id {}", text(&request.id))),
+        };
+        let asked = self.question(caller, what);
+        self.desk.ask(self.now, asked, &request, at!(self));
+        self.pump();
+        asked
+    }
+
+    fn question(&mut self, caller: u64, what: Option<String>) -> Asked {
+        let asked = Asked { caller: CallerId(caller), tag: self.next_tag };
+        self.next_tag += 1;
+        self.questions.insert(asked, what);
+        asked
+    }
+
+    pub fn report(&mut self, caller: u64, lease: LeaseId, outcome: Outcome) -> Asked {
+        self.tell(caller, Report { lease, outcome: Some(outcome), endpoint: None, load: Vec::new() })
+    }
+
+    pub fn report_at(&mut self, caller: u64, lease: LeaseId, outcome: Outcome, at: &str) -> Asked {
+        let endpoint = Some(at.parse().expect("an address"));
+        self.tell(caller, Report { lease, outcome: Some(outcome), endpoint, load: Vec::new() })
+    }
+
+    pub fn establish(&mut self, caller: u64, lease: LeaseId) -> Asked {
+        self.tell(caller, Report { lease, outcome: None, endpoint: None, load: Vec::new() })
+    }
+
+    fn tell(&mut self, caller: u64, report: Report) -> Asked {
+        let what = self.attempts.get(&report.lease).and_then(|a| a.what.clone());
+        let asked = self.question(caller, what);
+        let (lease, outcome) = (report.lease, report.outcome);
+        let before = self.engine.lease_counts().reported;
+        self.desk.report(self.now, asked, report, at!(self));
+        // A report that is taken is the truth of what the box did; any other one is a lie of its caller's.
+        let taken = self.engine.lease_counts().reported - before;
+        if let (Some(outcome), Some(attempt)) = (outcome, self.attempts.get_mut(&lease))
+            && taken == 1
+            && outcome.never_ran()
+        {
+            attempt.never_ran = true;
+        }
+        self.pump();
+        asked
+    }
+
+    pub fn renew(&mut self, caller: u64, lease: LeaseId) -> Asked {
+        let asked = self.question(caller, None);
+        self.desk.renew(asked, lease, at!(self));
+        self.pump();
+        asked
+    }
+
+    /// A caller ends; `heard`: as a stream does, and otherwise as a call whose answer never left.
+    pub fn gone(&mut self, caller: u64, heard: bool) {
+        let open: Vec<Asked> = self.questions.keys().filter(|a| a.caller.0 == caller).copied().collect();
+        self.gone.extend(open.iter().filter(|a| !self.replies.contains_key(a)));
+        if !heard {
+            // Such a caller asks one question in its life.
+            let told = self.replies.iter().filter(|(a, _)| a.caller.0 == caller);
+            let lease = told.flat_map(|(_, replies)| replies).find_map(lease_of);
+            if let Some(attempt) = lease.and_then(|lease| self.attempts.get_mut(&lease)) {
+                attempt.never_ran = true;
+            }
+        }
+        self.desk.gone(self.now, CallerId(caller), heard, at!(self));
+        self.pump();
+    }
+
+    // ---- What boxes and time do ----
+
+    pub fn drain_box(&mut self, id: BackendId) {
+        self.draining.insert(id);
+        self.engine.membership(self.now, Membership::Delta(&[listed(id, Readiness::Draining)]));
+        self.pump();
+    }
+
+    pub fn start_box(&mut self, id: BackendId) {
+        self.draining.remove(&id);
+        let started = Some(self.now);
+        let backend = Backend { started, ..listed(id, Readiness::Ready) };
+        self.engine.membership(self.now, Membership::Delta(&[backend]));
+        self.pump();
+    }
+
+    pub fn pass(&mut self, span: Micros) {
+        let until = self.now + span;
+        while let Some(due) = self.engine.next_due().filter(|&due| due <= until) {
+            self.now = self.now.max(due);
+            self.engine.advance(self.now);
+            self.pump();
+        }
+        self.now = until;
+    }
+
+    /// Hands words on until there are none, and checks what is told.
+    fn pump(&mut self) {
+        at!(self).hear();
+        while let Some(word) = self.words.pop_front() {
+            let at = match &word {
+                Word::Granted(_, grant) => Some(endpoint(grant.backend)),
+                _ => None,
+            };
+            self.desk.word(self.now, word, at, at!(self));
+        }
+        for (asked, reply) in self.desk.take_replies() {
+            self.told(asked, reply);
+        }
+        self.revoked.extend(self.desk.take_revoked().into_iter().map(|(caller, lease)| (caller.0, lease)));
+    }
+
+    fn told(&mut self, asked: Asked, reply: Reply) {
+        assert!(self.questions.contains_key(&asked), "{asked:?} asked nothing");
+        if let Reply::Send(send) = reply {
+            assert!(!self.draining.contains(&send.grant.backend), "a draining box gets something new");
+            let what = self.questions[&asked].clone();
+            self.check_twice(what.as_deref(), &send);
+            let (at, request) = (self.now, send.grant.request);
+            let attempt = Attempt { what, at, request, never_ran: false };
+            assert!(self.attempts.insert(send.grant.lease, attempt).is_none(), "a lease was granted twice");
+        }
+        let replies = self.replies.entry(asked).or_default();
+        replies.push(reply);
+        // Whoever was told unheard is told nothing more; everybody else is told once.
+        assert_eq!(replies.len(), 1, "{asked:?} was told {replies:?}");
+    }
+
+    /// Rule 2 across requests: inside one, the engine's own tests show it.
+    fn check_twice(&self, what: Option<&str>, send: &desk::Send) {
+        let Some(what) = what else { return };
+        let before = self.attempts.values().filter(|a| a.what.as_deref() == Some(what) && !a.never_ran);
+        for attempt in before {
+            let same = attempt.request == send.grant.request;
+            let forgotten = self.now >= attempt.at + MEMORY;
+            assert!(same || forgotten, "{what} may have run and goes out again at {}", self.now);
+        }
+    }
+
+    // ---- What tests ask ----
+
+    pub fn reply(&self, asked: Asked) -> Option<Reply> {
+        self.replies.get(&asked).and_then(|replies| replies.first()).copied()
+    }
+
+    pub fn sent(&self, asked: Asked) -> Option<desk::Send> {
+        match self.reply(asked) {
+            Some(Reply::Send(send)) => Some(send),
+            _ => None,
+        }
+    }
+
+    /// Lets all time pass: every question whose caller is there has its one reply, and nothing is left.
+    pub fn finish(&mut self) {
+        self.pass(60 * SECOND);
+        for asked in self.questions.keys() {
+            let (told, gone) = (self.replies.contains_key(asked), self.gone.contains(asked));
+            assert!(told || gone, "{asked:?} was never answered");
+        }
+        assert!(self.desk.is_empty(), "{} requests are held for ever", self.desk.len());
+        assert_eq!((self.engine.leases(), self.engine.open()), (0, 0), "leases and requests left");
+    }
+}
+
+fn lease_of(reply: &Reply) -> Option<LeaseId> {
+    match reply {
+        Reply::Send(send) => Some(send.grant.lease),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/program/src/lib.rs
@@ -0,0 +1,3 @@
+//! The proxy's program as a library: [`program`] puts the fronts round one engine and takes them down again in order.
+
+pub mod program;
--- a/crates/proxy/src/main.rs
+++ b/crates/program/src/main.rs
@@ -2,9 +2,10 @@
 #![forbid(unsafe_code)]
 
 use clap::{Parser, Subcommand};
+use haventrack_extproc::settings::Settings as Extproc;
+use haventrack_program::program::{self, Fronts};
 use haventrack_proxy::config::Config;
 use haventrack_proxy::log::log;
-use haventrack_proxy::program;
 use std::error::Error;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -19,6 +20,9 @@
 #[derive(Parser)]
 #[command(name = "haventrack-proxy", version)]
 struct Arguments {
+    /// Switch the external processor on, with these settings, TOML.
+    #[arg(long, value_name = "FILE", env = "EDGE_EXTPROC")]
+    extproc: Option<PathBuf>,
     #[command(subcommand)]
     command: Option<Command>,
 }
@@ -29,6 +33,9 @@
     Check {
         /// The configuration, JSON.
         config: PathBuf,
+        /// The external processor's settings, TOML.
+        #[arg(long, value_name = "FILE")]
+        extproc: Option<PathBuf>,
     },
 }
 
@@ -45,20 +52,24 @@
     }
 }
 
-fn serve() -> Result<(), Box<dyn Error>> {
+fn serve(extproc: Option<&Path>) -> Result<(), Box<dyn Error>> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     LocalSet::new().block_on(&runtime, async {
         let Signals { mut stop, reload } = Signals::install()?;
         let stop = async move {
             stop.recv().await;
         };
-        program::serve(Config::from_env()?, stop, Some(reload), |_, _| ()).await?;
+        let extproc = extproc.map(Extproc::from_file).transpose()?;
+        let fronts = Fronts { http: Config::from_env()?, extproc };
+        program::serve(fronts, stop, Some(reload), |_, _| ()).await?;
         Ok(())
     })
 }
 
-fn check(path: &Path) -> Result<(), Box<dyn Error>> {
+fn check(path: &Path, extproc: Option<&Path>) -> Result<(), Box<dyn Error>> {
     let config = Config::from_file(path)?;
+    let extproc =
+        extproc.map(|path| Ok::<_, Box<dyn Error>>((path, Extproc::from_file(path)?))).transpose()?;
     let settings = &config.settings;
     println!("{}: good", path.display());
     println!("  listens on {}, follows discovery at {}", config.listen, config.discovery);
@@ -72,13 +83,20 @@
         "  at most {} connections from clients and {} to backends, {} bytes of large answers",
         config.client_sockets, config.backend_sockets, config.large_answers
     );
+    if let Some((path, extproc)) = extproc {
+        let bounds = &extproc.bounds;
+        println!("{}: good", path.display());
+        println!("  answers callers on {}, on {} connections", extproc.listen, bounds.connections);
+        println!("  at most {} leases, {} requests held or remembered", bounds.leases, bounds.remembered);
+    }
     Ok(())
 }
 
 fn main() -> ExitCode {
-    let done = match Arguments::parse().command {
-        None => serve(),
-        Some(Command::Check { config }) => check(&config),
+    let Arguments { extproc, command } = Arguments::parse();
+    let done = match command {
+        None => serve(extproc.as_deref()),
+        Some(Command::Check { config, extproc }) => check(&config, extproc.as_deref()),
     };
     match done {
         Ok(()) => ExitCode::SUCCESS,
--- a/crates/proxy/src/program.rs
+++ b/crates/program/src/program.rs
@@ -1,15 +1,22 @@
 //! One real proxy from its configuration to its end.
 
-use crate::backends::Fleet;
-use crate::carrier::{Carrier, Handle};
-use crate::clients::{Clients, Phase};
-use crate::config::Config;
-use crate::discovery::{Translator, Watcher};
-use crate::log::log;
-use haventrack_decision::api::SettingsError;
+use haventrack_decision::api::{Settings, SettingsError};
+use haventrack_engine::claims::{self, Claims};
 use haventrack_engine::engine::{Bounds, Engine};
+use haventrack_engine::outside::Inbox;
 use haventrack_engine::shell::clock::Clock;
-use std::cell::Cell;
+use haventrack_extproc::bridge::{self, Bridge};
+use haventrack_extproc::question::Catalogue;
+use haventrack_extproc::server::{self, Running, ServerError, Subject};
+use haventrack_extproc::{desk, settings as extproc};
+use haventrack_proxy::backends::Fleet;
+use haventrack_proxy::carrier::{Carrier, Handle};
+use haventrack_proxy::clients::{Clients, Phase};
+use haventrack_proxy::config::Config;
+use haventrack_proxy::discovery::{Translator, Watcher};
+use haventrack_proxy::log::log;
+use haventrack_proxy::names::Names;
+use std::cell::{Cell, RefCell};
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
@@ -65,23 +72,97 @@
     /// The settings make no sense.
     #[error("{0}")]
     Settings(#[from] SettingsError),
+    /// The external processor can't begin.
+    #[error("external processor: {0}")]
+    Extproc(#[from] ServerError),
     /// The engine panicked.
     #[error("the engine ended: {0}")]
     Engine(String),
 }
 
+/// What the program serves.
+#[derive(Debug)]
+pub struct Fronts {
+    /// The proxy for clients.
+    pub http: Config,
+    /// The external processor, if it is switched on.
+    pub extproc: Option<extproc::Settings>,
+}
+
+impl From<Config> for Fronts {
+    fn from(http: Config) -> Self {
+        Self { http, extproc: None }
+    }
+}
+
+/// What is told once the listeners are open.
+#[derive(Clone, Copy, Debug)]
+pub struct Listening {
+    /// Where clients connect.
+    pub clients: SocketAddr,
+    /// Where callers of the external processor connect.
+    pub callers: Option<SocketAddr>,
+}
+
+/// The external processor: its desk on this thread, its services on theirs.
+struct Extproc {
+    bridge: Bridge<Carrier>,
+    services: Running,
+}
+
+impl Extproc {
+    fn start(
+        settings: &extproc::Settings,
+        decisions: &Settings,
+        names: &Names,
+        claims: claims::Shared,
+        handle: &Handle,
+    ) -> Result<Self, ServerError> {
+        let (safe_memory, unsafe_memory) = settings.memories();
+        let bounds = desk::Bounds { per_caller: settings.bounds.per_caller, safe_memory, unsafe_memory };
+        let carrier = handle.transport();
+        let fleet = Rc::clone(&carrier.fleet);
+        let endpoints = Box::new(move |backend| fleet.address(backend));
+        let inbox = Rc::clone(&carrier.outside);
+        let bridge = Bridge::new(decisions, bounds, claims, handle.clone(), inbox, endpoints);
+        let (way, ends) = bridge::way(settings.bounds.queue);
+        let subject = Subject {
+            catalogue: Catalogue::new(decisions, &names.classes, &names.tenants),
+            load_fields: names.report.clone(),
+            clock: handle.clock(),
+            way,
+        };
+        let services = server::start(settings.clone(), subject)?;
+        tokio::task::spawn_local(bridge.clone().run(ends));
+        Ok(Self { bridge, services })
+    }
+
+    /// Takes no request any more, and waits for what callers hold.
+    async fn drain(&self, longest: Duration) {
+        self.bridge.drain();
+        self.services.drain();
+        let end = Instant::now() + longest + DRAIN_SLACK;
+        while self.bridge.held() > 0 && Instant::now() < end {
+            sleep(DRAIN_STEP).await;
+        }
+        let counts = self.bridge.counts();
+        log(format_args!("external processor: {} held at the end, {counts:?}", self.bridge.held()));
+    }
+}
+
 /// Serves until `stop`, and then until all that was taken is answered. `reload` tells when to read the configuration
 /// again; `started` is told once the listener is open.
 ///
 /// # Errors
 /// Where it can't begin, or the engine ends early.
 pub async fn serve(
-    config: Config,
+    fronts: impl Into<Fronts>,
     stop: impl Future<Output = ()>,
     reload: Option<Signal>,
-    started: impl FnOnce(&Handle, SocketAddr),
+    started: impl FnOnce(&Handle, Listening),
 ) -> Result<(), ProgramError> {
     let clock = Clock::start();
+    let Fronts { http: config, extproc } = fronts.into();
     let settings = config.settings;
     let longest = settings.classes.iter().map(|c| c.deadline).max().unwrap_or_default();
     let asked = settings.discovery_on_request;
@@ -97,11 +178,23 @@
     let address = listener.local_addr().map_err(unheard)?;
     log(format_args!("{} listens on {address}", config.name));
     // Each client connection carries one request, and one whose client has left may run on for a while.
-    let bounds = Bounds { requests: config.client_sockets * OPEN_PER_CLIENT, leases: 0 };
+    let leases = extproc.as_ref().map_or(0, |e| e.bounds.leases);
+    let requests = config.client_sockets * OPEN_PER_CLIENT + leases;
+    let bounds = Bounds { requests, leases };
     let engine = Engine::new(settings.clone(), bounds, config.seed, config.seed ^ clock.now(), clock.now())?;
     let (subscribe, subscriptions) = mpsc::unbounded_channel();
     let report_by_probe = settings.report_by_probe;
-    let handle = Handle::new(engine, clock, Carrier { fleet: Rc::clone(&fleet), subscribe, report_by_probe });
+    let outside = Rc::new(Inbox::default());
+    let carrier = Carrier { fleet: Rc::clone(&fleet), subscribe, report_by_probe, outside };
+    let handle = Handle::new(engine, clock, carrier);
+    // Clients' requests are held beside those of callers, so that both fronts share the table.
+    let claims = extproc.as_ref().map(|e| shared_claims(e.bounds.remembered));
+    let extproc = match (&extproc, &claims) {
+        (Some(own), Some(claims)) => {
+            Some(Extproc::start(own, &settings, &config.names, Rc::clone(claims), &handle)?)
+        }
+        _ => None,
+    };
     let held = Rc::new(Cell::new(false));
     let translator = Translator::new(clock, &config.names);
     let subscriptions = asked.then_some(subscriptions);
@@ -109,8 +202,8 @@
     let mut watcher = Watcher::new(addresses, translator, handle.clone(), Rc::clone(&held), subscriptions);
     watcher.start_from(config.known);
     let (phase, phases) = watch::channel(Phase::Running);
-    let clients =
-        Clients::new(handle.clone(), clock, &settings, &config.names, held, phases, config.client_sockets);
+    let most = config.client_sockets;
+    let clients = Clients::new(handle.clone(), clock, &settings, &config.names, held, phases, most, claims);
 
     // Kept alive to the end: a watch whose sender is gone ends.
     let _discovery = match reload {
@@ -120,18 +213,36 @@
         }
         None => Some(discovery),
     };
-    started(&handle, address);
+    let callers = extproc.as_ref().map(|e| e.services.address);
+    if let Some(callers) = callers {
+        log(format_args!("{} answers callers on {callers}", config.name));
+    }
+    started(&handle, Listening { clients: address, callers });
     let engine = tokio::task::spawn_local(handle.run());
     tokio::task::spawn_local(watcher.run());
     tokio::task::spawn_local(fleet.sweep());
     tokio::task::spawn_local(Rc::clone(&clients).accept(listener));
-    tokio::select! {
+    let served = tokio::select! {
         ended = engine => Err(ProgramError::Engine(format!("{ended:?}"))),
         () = stop => {
-            drain(&clients, &phase, Duration::from_micros(longest)).await;
+            let longest = Duration::from_micros(longest);
+            match &extproc {
+                Some(extproc) => {
+                    tokio::join!(drain(&clients, &phase, longest), extproc.drain(longest));
+                }
+                None => drain(&clients, &phase, longest).await,
+            }
             Ok(())
         }
+    };
+    if let Some(extproc) = extproc {
+        extproc.services.end();
     }
+    served
+}
+
+fn shared_claims(most: usize) -> claims::Shared {
+    Rc::new(RefCell::new(Claims::new(most)))
 }
 
 /// Finishes what was taken, and what still comes.
--- a/crates/proxy/src/backends.rs
+++ b/crates/proxy/src/backends.rs
@@ -328,6 +328,12 @@
         self.servers.borrow().get(&id).cloned()
     }
 
+    /// Where it listens, if discovery lists it and it takes requests.
+    #[must_use]
+    pub fn address(&self, id: BackendId) -> Option<SocketAddr> {
+        self.servers.borrow().get(&id).filter(|server| server.ready.get()).map(|server| server.address.get())
+    }
+
     /// Closes connections that have stood idle for too long, for as long as the proxy runs.
     pub async fn sweep(self: Rc<Self>) {
         loop {
--- a/crates/proxy/src/carrier.rs
+++ b/crates/proxy/src/carrier.rs
@@ -5,6 +5,7 @@
 use haventrack_decision::api::{Backend, BackendId, Membership, Outcome};
 use haventrack_engine::engine::{Ended, Exchange, Grant, Verdict};
 use haventrack_engine::lease::LeaseId;
+use haventrack_engine::outside::{Inbox, Ticket, Word};
 use haventrack_engine::shell::{self, Transport};
 use rustc_hash::FxHashSet;
 use std::future::Future;
@@ -16,9 +17,24 @@
 #[derive(Debug)]
 pub struct Http;
 
+/// Where a final answer goes.
+#[derive(Debug)]
+pub enum Reply {
+    /// To a client's connection.
+    Client(oneshot::Sender<Verdict<Served>>),
+    /// To the front whose callers make their attempts themselves.
+    Outside(Ticket),
+}
+
+impl From<Ticket> for Reply {
+    fn from(ticket: Ticket) -> Self {
+        Self::Outside(ticket)
+    }
+}
+
 impl Exchange for Http {
     type Work = Rc<Call>;
-    type Reply = oneshot::Sender<Verdict<Served>>;
+    type Reply = Reply;
     type Payload = Served;
 }
 
@@ -33,6 +49,8 @@
     pub subscribe: mpsc::UnboundedSender<()>,
     /// Whether load reports come with probes alone.
     pub report_by_probe: bool,
+    /// What is said to callers that make their attempts themselves; nothing where there are none.
+    pub outside: Rc<Inbox>,
 }
 
 impl Transport for Carrier {
@@ -65,17 +83,34 @@
         }
     }
 
-    fn answer(&self, reply: oneshot::Sender<Verdict<Served>>, verdict: Verdict<Served>) {
-        // A client that has left meanwhile is told of by its own guard.
-        let _ = reply.send(verdict);
+    fn answer(&self, reply: Reply, verdict: Verdict<Served>) {
+        match reply {
+            // A client that has left meanwhile is told of by its own guard.
+            Reply::Client(sender) => drop(sender.send(verdict)),
+            Reply::Outside(ticket) => {
+                let verdict = match verdict {
+                    Verdict::Served(_) => Verdict::Served(None),
+                    Verdict::Refused { retry_after } => Verdict::Refused { retry_after },
+                    Verdict::Failed => Verdict::Failed,
+                };
+                self.outside.put(Word::Answered(ticket, verdict));
+            }
+        }
     }
 
-    fn grant(&self, _: Option<&oneshot::Sender<Verdict<Served>>>, grant: Grant) {
-        // This front asks for none; one that is granted all the same runs out by itself.
-        log(format_args!("nobody asked for lease {}", grant.lease));
+    fn grant(&self, reply: Option<&Reply>, grant: Grant) {
+        match reply {
+            Some(&Reply::Outside(ticket)) => self.outside.put(Word::Granted(ticket, grant)),
+            // A client asks for none; one that is granted all the same runs out by itself.
+            Some(Reply::Client(_)) | None => log(format_args!("nobody asked for lease {}", grant.lease)),
+        }
     }
 
-    fn revoke(&self, _: Option<&oneshot::Sender<Verdict<Served>>>, _: LeaseId) {}
+    fn revoke(&self, reply: Option<&Reply>, lease: LeaseId) {
+        if let Some(&Reply::Outside(ticket)) = reply {
+            self.outside.put(Word::Revoked(ticket, lease));
+        }
+    }
 
     fn subscribe(&self) {
         let _ = self.subscribe.send(());
--- /dev/null
+++ b/crates/proxy/src/claim.rs
@@ -0,0 +1,107 @@
+//! Rule 2 across fronts: a client's request that callers outside might ask for too is held in the table they share.
+
+use crate::backends::Served;
+use haventrack_decision::api::{Class, Effect, Micros};
+use haventrack_engine::claims::{self, ClaimError, ClaimId, Claimed, End, Front, Remembered, Shared};
+use haventrack_engine::engine::Verdict;
+use haventrack_engine::shell::clock::Clock;
+
+/// When a client may ask again for what another holds, microseconds.
+const ASK_AGAIN: Micros = 1_000_000;
+
+/// The request is not this client's to have sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Taken {
+    /// Nothing of it has run here: refused, with the time to stay away.
+    Refused(Micros),
+    /// It has, or has had, an end whose answer is not kept.
+    NoAnswer(&'static str),
+    /// It can't be held.
+    Senseless(&'static str),
+}
+
+/// On what terms the requests of a class are held.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Terms {
+    /// Whether its requests are one another's repeats by their keys.
+    keyed: bool,
+    /// How long an answer is remembered for callers outside.
+    memory: Micros,
+}
+
+impl Terms {
+    /// The terms of a class.
+    #[must_use]
+    pub fn of(class: &Class) -> Self {
+        match class.effect {
+            Effect::Safe => Self { keyed: false, memory: 0 },
+            Effect::Keyed { ttl, .. } => Self { keyed: true, memory: ttl.max(class.deadline) },
+            Effect::Unsafe => Self { keyed: false, memory: class.deadline },
+        }
+    }
+}
+
+/// A request that this front holds. One whose client leaves may have run.
+pub struct Claim<'a> {
+    claims: &'a Shared,
+    clock: Clock,
+    id: ClaimId,
+    memory: Micros,
+    settled: bool,
+}
+
+impl<'a> Claim<'a> {
+    /// Takes the claim; `None` where this front itself had it before: as without callers outside, the backends then
+    /// drop the repeat or answer it.
+    ///
+    /// # Errors
+    /// Where it is another's, or can't be held.
+    pub fn take(
+        claims: &'a Shared,
+        clock: Clock,
+        id: &[u8],
+        class: u8,
+        key: Option<&[u8]>,
+        Terms { keyed, memory }: Terms,
+    ) -> Result<Option<Self>, Taken> {
+        let now = clock.now();
+        let claimed = claims.borrow_mut().claim(now, id, class, key.filter(|_| keyed));
+        match claimed {
+            Ok(Claimed::New(id)) => Ok(Some(Self { claims, clock, id, memory, settled: false })),
+            Ok(Claimed::Settled(Remembered { front: Front::Carried, .. })) => Ok(None),
+            Ok(Claimed::Held { .. }) | Err(ClaimError::Full(_)) => Err(Taken::Refused(ASK_AGAIN)),
+            Ok(Claimed::Settled(Remembered { end: End::Refused(until), .. })) => {
+                Err(Taken::Refused(until.saturating_sub(now)))
+            }
+            Ok(Claimed::Settled(_)) => Err(Taken::NoAnswer("another caller sent it: no answer is kept\n")),
+            Err(ClaimError::OtherKey) => Err(Taken::NoAnswer("this id came with another key\n")),
+            Err(ClaimError::Name(_)) => Err(Taken::Senseless("the id or the key is too long\n")),
+        }
+    }
+
+    /// Its answer is on its way; `None`: there will be none.
+    pub fn settle(mut self, verdict: Option<&Verdict<Served>>) {
+        self.settled = true;
+        let now = self.clock.now();
+        match verdict {
+            Some(Verdict::Served(_)) => self.end(now, End::Served, claims::Effect::Perhaps),
+            Some(&Verdict::Refused { retry_after }) => {
+                self.end(now, End::Refused(now.saturating_add(retry_after)), claims::Effect::None);
+            }
+            Some(Verdict::Failed) | None => self.end(now, End::Failed, claims::Effect::Perhaps),
+        }
+    }
+
+    fn end(&self, now: Micros, end: End, effect: claims::Effect) {
+        let remembered = Remembered { front: Front::Carried, end };
+        self.claims.borrow_mut().settle(now, self.id, remembered, effect, self.memory);
+    }
+}
+
+impl Drop for Claim<'_> {
+    fn drop(&mut self) {
+        if !self.settled {
+            self.end(self.clock.now(), End::Unknown, claims::Effect::Perhaps);
+        }
+    }
+}
--- a/crates/proxy/src/clients.rs
+++ b/crates/proxy/src/clients.rs
@@ -2,11 +2,13 @@
 
 use crate::backends::Call;
 use crate::bounds::{BODY_CAP, REQUEST_HEAD_CAP};
-use crate::carrier::Handle;
+use crate::carrier::{Handle, Reply};
+use crate::claim::{Claim, Taken, Terms};
 use crate::log::log;
 use crate::names::Names;
 use bytes::Bytes;
 use haventrack_decision::api::{Effect, Micros, RequestId, Settings};
+use haventrack_engine::claims;
 use haventrack_engine::engine::{Arrival, Conduct, Overload, Verdict};
 use haventrack_engine::shell::clock::Clock;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
@@ -92,6 +94,10 @@
     accepted_at: Cell<Instant>,
     /// The ids of the requests that have no answer yet.
     ids: RefCell<FxHashSet<HeaderValue>>,
+    /// Who holds which request, where callers outside hold some as well.
+    claims: Option<claims::Shared>,
+    /// On what terms, by class.
+    terms: Vec<Terms>,
 }
 
 /// A request that is answered here because the module can't be asked about it.
@@ -101,8 +107,9 @@
 
 impl Clients {
     /// No connections yet. `held` tells whether a list of backends is held, `most` how many connections may be
-    /// open at a time.
+    /// open at a time; `claims` are those that callers outside share.
     #[must_use]
+    #[allow(clippy::too_many_arguments)]
     pub fn new(
         handle: Handle,
         clock: Clock,
@@ -111,6 +118,7 @@
         held: Rc<Cell<bool>>,
         phase: watch::Receiver<Phase>,
         most: usize,
+        claims: Option<claims::Shared>,
     ) -> Rc<Self> {
         let class = |c: &haventrack_decision::api::Class| Class {
             deadline: c.deadline,
@@ -132,6 +140,8 @@
             shedding: Cell::new(0),
             accepted_at: Cell::new(Instant::now()),
             ids: RefCell::default(),
+            claims,
+            terms: settings.classes.iter().map(Terms::of).collect(),
         })
     }
 
@@ -262,18 +272,32 @@
         id: HeaderValue,
     ) -> Result<Response<Full<Bytes>>, Rejected> {
         // Rule 2: passed on, a second request of the same id would be a second copy of the first.
-        let Some(_id) = OpenId::claim(&self.ids, id) else {
+        let Some(open) = OpenId::claim(&self.ids, id) else {
             return Err(Rejected(StatusCode::CONFLICT, "a request of this id is open\n"));
         };
+        let claim = match self.claim(&arrival, &open.id) {
+            Ok(claim) => claim,
+            Err(Taken::Refused(retry_after)) => return Ok(refusal(retry_after)),
+            Err(Taken::NoAnswer(why)) => return Err(Rejected(StatusCode::CONFLICT, why)),
+            Err(Taken::Senseless(why)) => return Err(Rejected(StatusCode::BAD_REQUEST, why)),
+        };
         let (sender, answer) = oneshot::channel();
-        let request = match self.handle.admit(arrival, sender) {
+        let request = match self.handle.admit(arrival, Reply::Client(sender)) {
             Ok(request) => request,
             // Nothing of it has run.
-            Err(Overload::Requests(_) | Overload::Leases(_)) => return Ok(refusal(OVERLOAD_RETRY)),
+            Err(Overload::Requests(_) | Overload::Leases(_)) => {
+                if let Some(claim) = claim {
+                    claim.settle(Some(&Verdict::Refused { retry_after: OVERLOAD_RETRY }));
+                }
+                return Ok(refusal(OVERLOAD_RETRY));
+            }
         };
         let guard = Guard { handle: &self.handle, request, answered: false };
         let answer = answer.await;
         guard.answered();
+        if let Some(claim) = claim {
+            claim.settle(answer.as_ref().ok());
+        }
         Ok(match answer {
             Ok(Verdict::Served(Some(served))) => {
                 let mut response = Response::new(Full::new(served.body));
@@ -289,6 +313,16 @@
         })
     }
 
+    /// The claim of a request, where callers outside might ask for it too.
+    fn claim(&self, arrival: &Arrival<Rc<Call>>, id: &HeaderValue) -> Result<Option<Claim<'_>>, Taken> {
+        let (Some(claims), Conduct::Carried(call)) = (&self.claims, &arrival.conduct) else {
+            return Ok(None);
+        };
+        let key = call.headers.get(IDEMPOTENCY_KEY).map(HeaderValue::as_bytes);
+        let terms = self.terms[usize::from(arrival.class)];
+        Claim::take(claims, self.clock, id.as_bytes(), arrival.class, key, terms)
+    }
+
     async fn inbound(
         &self,
         request: Request<Incoming>,
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -4,9 +4,9 @@
 pub mod backends;
 pub mod bounds;
 pub mod carrier;
+pub mod claim;
 pub mod clients;
 pub mod config;
 pub mod discovery;
 pub mod log;
 pub mod names;
-pub mod program;
--- a/crates/rig/src/sockets.rs
+++ b/crates/rig/src/sockets.rs
@@ -12,8 +12,8 @@
 use discovery::Agent;
 use haventrack_decision::api::{Micros, Outcome};
 use haventrack_engine::engine::Counts;
+use haventrack_program::program::{self, Listening};
 use haventrack_proxy::config::{Config, ConfigError};
-use haventrack_proxy::program;
 use rustc_hash::FxHashMap;
 use serde_json::json;
 use std::cell::{Cell, RefCell};
@@ -231,8 +231,8 @@
         let config = Config::parse(config.to_string().as_bytes(), |_| None).map_err(|e| e.to_string())?;
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
         let runtime = runtime.map_err(|e| e.to_string())?;
-        let started = move |handle: &haventrack_proxy::carrier::Handle, address: SocketAddr| {
-            let _ = told.send(address);
+        let started = move |handle: &haventrack_proxy::carrier::Handle, listening: Listening| {
+            let _ = told.send(listening.clients);
             let handle = handle.clone();
             tokio::task::spawn_local(async move {
                 loop {
