--- a/crates/program/tests/proxy/rig.rs
+++ b/crates/program/tests/proxy/rig.rs
@@ -1,5 +1,6 @@
 //! The proxy's program with stand-ins for backends, discovery and clients, all on loopback sockets. Nothing
 //! here waits for a span of time: tests wait for events, and the time-outs only end a test that has failed.
+#![allow(dead_code, reason = "each test file uses a part of it")]
 
 use serde_json::{Value, json};
 use std::io::{BufRead, BufReader, Read, Write};
@@ -264,7 +265,39 @@
     command.env("EDGE_CONFIG", path).stderr(Stdio::piped()).spawn().expect("the program starts")
 }
 
+/// Starts the program with its external processor on, set by these lines beside its address.
+pub fn launch_with_callers(name: &str, config: &str, settings: &str) -> Child {
+    let (path, extproc) =
+        (config_path(name), env::temp_dir().join(format!("{name}-{}.toml", std::process::id())));
+    fs::write(&path, config).expect("the configuration is written");
+    fs::write(&extproc, format!("listen = \"127.0.0.1:0\"\n{settings}")).expect("the settings are written");
+    let mut command = Command::new(env!("CARGO_BIN_EXE_haventrack-proxy"));
+    command.env("EDGE_CONFIG", path).arg("--extproc").arg(extproc);
+    command.stderr(Stdio::piped()).spawn().expect("the program starts")
+}
+
+/// The address behind these words in a line of the log.
+fn told(log: &mut impl BufRead, words: &str) -> SocketAddr {
+    let mut line = String::new();
+    loop {
+        line.clear();
+        assert_ne!(log.read_line(&mut line).expect("a log"), 0, "the proxy ended before it {words}");
+        if let Some((_, address)) = line.trim().rsplit_once(words) {
+            return address.parse().expect("an address");
+        }
+    }
+}
+
 impl Proxy {
+    /// A proxy that answers callers as well, and where.
+    pub fn start_with_callers(name: &str, config: Value, settings: &str) -> (Self, SocketAddr) {
+        let mut child = launch_with_callers(name, &config.to_string(), settings);
+        let mut log = BufReader::new(child.stderr.take().expect("standard error"));
+        let address = told(&mut log, "listens on ");
+        let callers = told(&mut log, "answers callers on ");
+        (Self { child, address, name: name.into(), log }, callers)
+    }
+
     /// A proxy that is up with these backends.
     pub fn start(name: &str, discovery: &Discovery, members: &[Value]) -> Self {
         let proxy = Self::start_bare(name, discovery);
@@ -281,14 +314,7 @@
     pub fn start_with(name: &str, config: Value) -> Self {
         let mut child = launch(name, &config.to_string());
         let mut log = BufReader::new(child.stderr.take().expect("standard error"));
-        let mut line = String::new();
-        let address = loop {
-            line.clear();
-            assert_ne!(log.read_line(&mut line).expect("a log"), 0, "the proxy ended before it listened");
-            if let Some((_, address)) = line.trim().rsplit_once("listens on ") {
-                break address.parse().expect("an address");
-            }
-        };
+        let address = told(&mut log, "listens on ");
         Self { child, address, name: name.into(), log }
     }
 
--- /dev/null
+++ b/crates/rig/src/callers.rs
@@ -0,0 +1,642 @@
+//! Stand-in callers of the external processor: a campaign of requests over the plain stream, callers that are killed at
+//! random, boxes that crash, and a ledger of what ran that believes no caller. It measures what a decision costs.
+//!
+//! Boxes are entries of the ledger: callers and the processor talk over loopback sockets, a caller and a box do not.
+
+use crate::cost::{CostError, Middle, discovery, wait_until_up};
+use haventrack_extproc::generated as pb;
+use haventrack_extproc::generated::decisions_client::DecisionsClient;
+use haventrack_extproc::settings::Settings;
+use haventrack_program::program::{self, Fronts, Listening};
+use haventrack_proxy::carrier::Handle;
+use haventrack_proxy::config::Config;
+use hdrhistogram::Histogram;
+use rustc_hash::FxHashMap;
+use serde_json::json;
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::Command;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread::JoinHandle;
+use std::time::Duration;
+use std::{env, fmt, fs};
+use thiserror::Error;
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::LocalSet;
+use tokio::time::{Instant, sleep, sleep_until, timeout};
+use tokio_stream::wrappers::ReceiverStream;
+use tonic::Streaming;
+
+/// The most requests, callers and boxes of a campaign.
+const MOST_REQUESTS: usize = 5_000_000;
+const MOST_CALLERS: usize = 64;
+const MOST_BOXES: usize = 8_000;
+/// Boxes of a cell, which drop each other's repeats.
+const CELL: usize = 3;
+/// How long they remember.
+const KEY_TTL: Duration = Duration::from_secs(3);
+/// A caller that hears nothing for so long has found a lost answer.
+const SILENCE: Duration = Duration::from_secs(15);
+/// How often a paced caller looks whether something is due.
+const PACE: Duration = Duration::from_millis(1);
+/// Questions on their way from a caller to its connection.
+const QUEUE: usize = 1_024;
+const CLASSES: [&str; 3] = ["read", "submit", "charge"];
+
+/// Why a campaign could not be played.
+#[derive(Debug, Error)]
+pub enum CallersError {
+    /// The processor's process.
+    #[error(transparent)]
+    Process(#[from] CostError),
+    /// A file.
+    #[error("{0}")]
+    Io(#[from] std::io::Error),
+    /// A call that the processor should have taken.
+    #[error("a caller: {0}")]
+    Call(#[from] tonic::Status),
+    /// A connection that it should have taken.
+    #[error("a caller: {0}")]
+    Connect(#[from] tonic::transport::Error),
+    /// A request whose answer did not come.
+    #[error("caller {0} heard nothing for {SILENCE:?}, {1} questions open")]
+    Silence(usize, usize),
+    /// An answer that fits no question.
+    #[error("caller {0}: {1}")]
+    Senseless(usize, String),
+    /// What was asked for is too much or nothing.
+    #[error("1 to {MOST_REQUESTS} requests, 1 to {MOST_CALLERS} callers, 1 to {MOST_BOXES} boxes")]
+    TooMuch,
+}
+
+/// A campaign.
+#[derive(Clone, Debug)]
+pub struct Campaign {
+    /// Requests of all callers.
+    pub requests: usize,
+    /// Callers, each with a connection and a stream.
+    pub callers: usize,
+    /// Requests that each has open.
+    pub open: usize,
+    /// Boxes.
+    pub boxes: usize,
+    /// Requests a second of all callers; 0: as many as there is room for.
+    pub rate: f64,
+    /// A caller is killed after so many answers in the mean; 0: never.
+    pub kill_every: usize,
+    /// One attempt in so many meets trouble, and one in ten times so many crashes its box; 0: none.
+    pub trouble_every: usize,
+    /// For all random numbers.
+    pub seed: u64,
+    /// The program; `None`: the processor is a thread of this process, and nothing is said of its CPU and memory.
+    pub program: Option<PathBuf>,
+}
+
+/// What became of a campaign.
+#[derive(Clone, Debug)]
+pub struct Played {
+    /// Final answers in the order of [`pb::End`].
+    pub ends: [u64; 6],
+    /// Decisions: answers to questions for a request.
+    pub decisions: u64,
+    /// Attempts that callers were told of.
+    pub sends: u64,
+    /// Answers that another caller holds the request.
+    pub in_flight: u64,
+    /// Rejections at a bound.
+    pub overload: u64,
+    /// Callers killed.
+    pub kills: u64,
+    /// Effects at boxes that must not be doubled, and those that were.
+    pub effects: (u64, u64),
+    /// Time from a question for a request to its answer, microseconds.
+    pub times: Histogram<u64>,
+    /// How long it took.
+    pub span: Duration,
+    /// CPU time of the processor, seconds.
+    pub cpu_s: f64,
+    /// Its memory at the end, MB.
+    pub memory_mb: f64,
+}
+
+impl Played {
+    /// Requests that got their final answer.
+    #[must_use]
+    pub fn ended(&self) -> u64 {
+        self.ends.iter().sum()
+    }
+}
+
+impl fmt::Display for Played {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let [_, served, refused, failed, unknown, _] = self.ends;
+        writeln!(
+            f,
+            "ended {}: served {served}, refused {refused}, failed {failed}, may have run {unknown}",
+            self.ended()
+        )?;
+        writeln!(
+            f,
+            "decisions {}, attempts {}, held by another {}, at a bound {}, callers killed {}",
+            self.decisions, self.sends, self.in_flight, self.overload, self.kills
+        )?;
+        writeln!(f, "effects that must not be doubled {}, doubled {}", self.effects.0, self.effects.1)?;
+        let at = |q| self.times.value_at_quantile(q);
+        let per_s = self.decisions as f64 / self.span.as_secs_f64();
+        write!(
+            f,
+            "{:.1} s, {per_s:.0} decisions/s; p50 {} p99 {} us",
+            self.span.as_secs_f64(),
+            at(0.5),
+            at(0.99)
+        )?;
+        if self.cpu_s > 0.0 {
+            let per_core = self.decisions as f64 / self.cpu_s;
+            write!(
+                f,
+                "; CPU {:.1} s: {per_core:.0} decisions/s a core; {:.1} MB",
+                self.cpu_s, self.memory_mb
+            )?;
+        }
+        Ok(())
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Wanted {
+    number: u64,
+    class: usize,
+}
+
+/// The boxes, and what ran there.
+struct Ledger {
+    rng: fastrand::Rng,
+    trouble_every: usize,
+    /// Attempts until a crashed box is back.
+    down: Vec<u32>,
+    by_address: FxHashMap<String, usize>,
+    /// For each request: where it ran first in its present memory, and when.
+    ran: FxHashMap<u64, (usize, Instant)>,
+    effects: u64,
+    doubled: u64,
+}
+
+fn box_address(index: usize) -> SocketAddr {
+    SocketAddr::from(([127, 1, (index / 200) as u8, 1 + (index % 200) as u8], 9))
+}
+
+impl Ledger {
+    fn new(campaign: &Campaign) -> Self {
+        let addresses = (0..campaign.boxes).map(|i| (box_address(i).to_string(), i));
+        Self {
+            rng: fastrand::Rng::with_seed(campaign.seed),
+            trouble_every: campaign.trouble_every,
+            down: vec![0; campaign.boxes],
+            by_address: addresses.collect(),
+            ran: FxHashMap::default(),
+            effects: 0,
+            doubled: 0,
+        }
+    }
+
+    /// An attempt reaches a box, or does not.
+    fn send(&mut self, to: &str, wanted: &Wanted) -> Option<pb::Outcome> {
+        let at = *self.by_address.get(to)?;
+        if self.down[at] > 0 {
+            self.down[at] -= 1;
+            return Some(pb::Outcome::CouldNotConnect);
+        }
+        let trouble = self.trouble_every > 0 && self.rng.usize(..self.trouble_every) == 0;
+        Some(match trouble.then(|| self.rng.u32(..10)) {
+            None => {
+                self.run(at, wanted);
+                pb::Outcome::Served
+            }
+            Some(0) => {
+                self.down[at] = self.rng.u32(5..60);
+                self.run(at, wanted);
+                pb::Outcome::Reset
+            }
+            Some(1..4) => {
+                self.run(at, wanted);
+                pb::Outcome::Reset
+            }
+            Some(4..7) => pb::Outcome::TurnedAway,
+            Some(_) => pb::Outcome::CouldNotConnect,
+        })
+    }
+
+    fn run(&mut self, at: usize, wanted: &Wanted) {
+        if CLASSES[wanted.class] == "read" {
+            return;
+        }
+        let before = self.ran.get(&wanted.number).copied();
+        let dropped = before.is_some_and(|(first, when)| {
+            CLASSES[wanted.class] == "submit" && first / CELL == at / CELL && when.elapsed() < KEY_TTL
+        });
+        if dropped {
+            return;
+        }
+        self.effects += 1;
+        self.doubled += u64::from(before.is_some());
+        self.ran.insert(wanted.number, (at, Instant::now()));
+    }
+}
+
+struct Shared {
+    campaign: Campaign,
+    address: SocketAddr,
+    ledger: Mutex<Ledger>,
+    began: Instant,
+}
+
+impl Shared {
+    fn send(&self, to: &str, wanted: &Wanted) -> Option<pb::Outcome> {
+        self.ledger.lock().unwrap_or_else(PoisonError::into_inner).send(to, wanted)
+    }
+}
+
+/// One connection's life.
+struct Life {
+    questions: mpsc::Sender<pb::Question>,
+    answers: Streaming<pb::TaggedAnswer>,
+}
+
+impl Life {
+    async fn begin(address: SocketAddr) -> Result<Self, CallersError> {
+        let channel = tonic::transport::Endpoint::from_shared(format!("http://{address}"))?.connect().await?;
+        let (questions, outgoing) = mpsc::channel(QUEUE);
+        let answers = DecisionsClient::new(channel).converse(ReceiverStream::new(outgoing)).await?;
+        Ok(Self { questions, answers: answers.into_inner() })
+    }
+
+    async fn ask(&self, tag: u64, question: pb::question::Question) {
+        // A connection that has ended is heard of by its answers.
+        let _ = self.questions.send(pb::Question { tag, question: Some(question) }).await;
+    }
+}
+
+struct Pending {
+    wanted: Wanted,
+    /// When it was asked for, until its decision has come.
+    asked: Option<Instant>,
+}
+
+/// A caller, through all its lives.
+struct Caller {
+    number: usize,
+    shared: Arc<Shared>,
+    rng: fastrand::Rng,
+    todo: VecDeque<Wanted>,
+    later: VecDeque<(Instant, Wanted)>,
+    open: FxHashMap<u64, Pending>,
+    next_tag: u64,
+    asked: u64,
+    played: Played,
+}
+
+fn nothing_played() -> Played {
+    Played {
+        ends: [0; 6],
+        decisions: 0,
+        sends: 0,
+        in_flight: 0,
+        overload: 0,
+        kills: 0,
+        effects: (0, 0),
+        // Three digits up to a minute: these bounds can't fail.
+        times: Histogram::new_with_bounds(1, 60_000_000, 3).unwrap_or_else(|e| unreachable!("{e}")),
+        span: Duration::ZERO,
+        cpu_s: 0.0,
+        memory_mb: 0.0,
+    }
+}
+
+impl Caller {
+    async fn live(mut self) -> Result<Played, CallersError> {
+        let mut life = Life::begin(self.shared.address).await?;
+        while !(self.todo.is_empty() && self.later.is_empty() && self.open.is_empty()) {
+            self.ask_what_is_due(&life).await;
+            let wake = self.wake();
+            let answer = tokio::select! {
+                answer = timeout(SILENCE, life.answers.message()) => answer,
+                () = sleep_until(wake.unwrap_or_else(Instant::now)), if wake.is_some() => continue,
+            };
+            let Ok(answer) = answer else {
+                return Err(CallersError::Silence(self.number, self.open.len()));
+            };
+            let Some(answer) = answer? else {
+                return Err(CallersError::Senseless(self.number, "the stream ended".into()));
+            };
+            if !self.hear(&life, answer).await? {
+                // Killed: nothing that was on its way is heard of any more, and its requests are asked for again.
+                self.played.kills += 1;
+                let mut lost: Vec<(u64, Pending)> = self.open.drain().collect();
+                lost.sort_unstable_by_key(|(tag, _)| *tag);
+                lost.into_iter().for_each(|(_, pending)| self.todo.push_front(pending.wanted));
+                life = Life::begin(self.shared.address).await?;
+            }
+        }
+        Ok(self.played)
+    }
+
+    /// When there is something to do beside hearing answers.
+    fn wake(&self) -> Option<Instant> {
+        let room = self.open.len() < self.shared.campaign.open;
+        let paced = (room && !self.todo.is_empty()).then(|| Instant::now() + PACE);
+        let later = self.later.front().map(|(at, _)| *at);
+        [paced, later].into_iter().flatten().min()
+    }
+
+    fn is_due(&self) -> bool {
+        let campaign = &self.shared.campaign;
+        let rate = campaign.rate / campaign.callers as f64;
+        rate <= 0.0 || (self.asked as f64) < self.shared.began.elapsed().as_secs_f64() * rate
+    }
+
+    async fn ask_what_is_due(&mut self, life: &Life) {
+        let now = Instant::now();
+        while self.later.front().is_some_and(|(at, _)| *at <= now) {
+            self.todo.extend(self.later.pop_front().map(|(_, wanted)| wanted));
+        }
+        while self.open.len() < self.shared.campaign.open && self.is_due() {
+            let Some(wanted) = self.todo.pop_front() else { return };
+            self.asked += 1;
+            let tag = self.next_tag;
+            self.next_tag += 1;
+            let class = CLASSES[wanted.class];
+            let key = if class == "submit" { wanted.number.to_be_bytes().to_vec() } else { Vec::new() };
+            let decide = pb::DecideRequest {
+                id: wanted.number.to_be_bytes().to_vec(),
+                class: class.into(),
+                idempotency_key: key,
+                ..pb::DecideRequest::default()
+            };
+            self.open.insert(tag, Pending { wanted, asked: Some(Instant::now()) });
+            life.ask(tag, pb::question::Question::Decide(decide)).await;
+        }
+    }
+
+    /// Heeds an answer; false where that was the caller's last deed.
+    async fn hear(&mut self, life: &Life, tagged: pb::TaggedAnswer) -> Result<bool, CallersError> {
+        use pb::answer::Answer as A;
+        let senseless = |what: String| CallersError::Senseless(self.number, what);
+        let answer = tagged.answer.and_then(|a| a.answer);
+        let answer = answer.ok_or_else(|| senseless("an empty answer".into()))?;
+        if let A::Revoked(_) = answer {
+            return Ok(true);
+        }
+        let pending = self.open.remove(&tagged.tag);
+        let mut pending = pending.ok_or_else(|| senseless(format!("{answer:?} answers nothing")))?;
+        if let Some(asked) = pending.asked.take() {
+            self.played.decisions += 1;
+            let micros = u64::try_from(asked.elapsed().as_micros()).unwrap_or(u64::MAX);
+            self.played.times.saturating_record(micros);
+        }
+        let dies =
+            self.shared.campaign.kill_every > 0 && self.rng.usize(..self.shared.campaign.kill_every) == 0;
+        match answer {
+            A::Send(send) => {
+                self.played.sends += 1;
+                let outcome = self.shared.send(&send.endpoint, &pending.wanted);
+                let outcome = outcome.ok_or_else(|| senseless(format!("no box {}", send.endpoint)))?;
+                let report = pb::ReportRequest {
+                    lease: send.lease,
+                    outcome: outcome as i32,
+                    endpoint: send.endpoint,
+                    load: Vec::new(),
+                };
+                self.open.insert(tagged.tag, pending);
+                if dies {
+                    return Ok(false);
+                }
+                life.ask(tagged.tag, pb::question::Question::Report(report)).await;
+            }
+            A::Final(end) => {
+                let count = self.played.ends.get_mut(end.end as usize);
+                *count.ok_or_else(|| senseless(format!("end {}", end.end)))? += 1;
+            }
+            A::InFlight(held) => {
+                self.played.in_flight += 1;
+                self.again(pending.wanted, u64::from(held.ask_again_ms));
+            }
+            A::Rejected(pb::Rejected { reason, .. }) if reason == pb::Reason::Overload as i32 => {
+                self.played.overload += 1;
+                self.again(pending.wanted, 50);
+            }
+            other => return Err(senseless(format!("{other:?}"))),
+        }
+        Ok(!dies)
+    }
+
+    fn again(&mut self, wanted: Wanted, after_ms: u64) {
+        self.later.push_back((Instant::now() + Duration::from_millis(after_ms), wanted));
+    }
+}
+
+fn config(boxes: usize, discovery: SocketAddr) -> String {
+    let class = |name: &str, effect: &str| {
+        json!({"name": name, "effect": effect, "group": "cell", "keyTtlUs": 3_000_000, "aimUs": 2_000_000,
+            "deadlineUs": 5_000_000, "worth": 1.0, "lateWorth": 0.5})
+    };
+    json!({"name": "callers", "listen": "127.0.0.1:0", "discovery": discovery.to_string(), "seed": "7",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024 + 4 * boxes},
+        "known": {"revision": 0, "complete": true, "members": []},
+        "settings": {"me": 0, "balancers": 1, "zone": 0, "failureDomains": ["z0"], "kinds": ["box"],
+            "membershipMode": "pushed",
+            "classes": [class("read", "retryable"), class("submit", "dedup"), class("charge", "fragile")],
+            "permissions": {"maxAttempts": 3, "connIdleUs": 60_000_000, "retryAfter": true,
+                "maxRetryAfterUs": 1_000_000, "dialTimeoutUs": 250_000},
+            "safety": {"coldFrom": 0.33, "coldUs": 8_000_000, "fallMultiple": 3.0, "fallUs": 2_000_000}}})
+    .to_string()
+}
+
+const EXTPROC: &str = "listen = \"127.0.0.1:0\"\n";
+
+/// The processor: a process of its own, whose CPU time and memory are the operating system's account, or a thread of this
+/// one, without an account.
+enum Processor {
+    Process { middle: Middle, files: [PathBuf; 2] },
+    Thread { listening: Listening, stop: Option<oneshot::Sender<()>>, thread: Option<JoinHandle<()>> },
+}
+
+impl Drop for Processor {
+    fn drop(&mut self) {
+        match self {
+            Self::Process { files, .. } => files.iter().for_each(|file| drop(fs::remove_file(file))),
+            Self::Thread { stop, thread, .. } => {
+                drop(stop.take());
+                thread.take().map(JoinHandle::join);
+            }
+        }
+    }
+}
+
+impl Processor {
+    /// Starts it and waits until it has heard of boxes.
+    async fn start(program: Option<&Path>, boxes: usize) -> Result<Self, CallersError> {
+        let addresses: Vec<SocketAddr> = (0..boxes).map(box_address).collect();
+        let config = config(boxes, discovery(&addresses, CELL).await?);
+        let processor = match program {
+            Some(program) => Self::process(program, &config)?,
+            None => Self::thread(&config)?,
+        };
+        let clients = match &processor {
+            Self::Process { middle, .. } => middle.address,
+            Self::Thread { listening, .. } => listening.clients,
+        };
+        wait_until_up(clients).await?;
+        Ok(processor)
+    }
+
+    fn process(program: &Path, config: &str) -> Result<Self, CallersError> {
+        let file =
+            |name: &str| env::temp_dir().join(format!("haventrack-callers-{}.{name}", std::process::id()));
+        let files = [file("json"), file("toml")];
+        fs::write(&files[0], config)?;
+        fs::write(&files[1], EXTPROC)?;
+        let mut command = Command::new(program);
+        command.env("EDGE_CONFIG", &files[0]).arg("--extproc").arg(&files[1]);
+        let middle = Middle::start(command, Some("answers callers on "))?;
+        Ok(Self::Process { middle, files })
+    }
+
+    fn thread(config: &str) -> Result<Self, CallersError> {
+        let wrong = |e: &dyn fmt::Display| CallersError::Process(CostError::Middle(e.to_string()));
+        let http = Config::parse(config.as_bytes(), |_| None).map_err(|e| wrong(&e))?;
+        let extproc = Settings::parse(EXTPROC, Path::new("extproc.toml")).map_err(|e| wrong(&e))?;
+        let fronts = Fronts { http, extproc: Some(extproc) };
+        let (stop, stopped) = oneshot::channel::<()>();
+        let (told, heard) = std::sync::mpsc::channel();
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+        let thread = std::thread::spawn(move || {
+            let stop = async {
+                let _ = stopped.await;
+            };
+            let started = move |_: &Handle, listening| {
+                let _ = told.send(listening);
+            };
+            let served = LocalSet::new().block_on(&runtime, program::serve(fronts, stop, None, started));
+            if let Err(error) = served {
+                eprintln!("the processor: {error}");
+            }
+        });
+        let listening = heard.recv().map_err(|_| wrong(&"it ended before it listened"))?;
+        Ok(Self::Thread { listening, stop: Some(stop), thread: Some(thread) })
+    }
+
+    fn callers(&self) -> Result<SocketAddr, CallersError> {
+        let callers = match self {
+            Self::Process { middle, .. } => middle.second,
+            Self::Thread { listening, .. } => listening.callers,
+        };
+        callers.ok_or_else(|| {
+            CallersError::Process(CostError::Middle("the program tells no address for callers".into()))
+        })
+    }
+
+    /// CPU seconds so far, and resident memory in MB.
+    fn used(&self) -> Result<(f64, f64), CallersError> {
+        match self {
+            Self::Process { middle, .. } => Ok(middle.used()?),
+            Self::Thread { .. } => Ok((0.0, 0.0)),
+        }
+    }
+}
+
+/// Plays a campaign against a processor of its own.
+///
+/// # Errors
+/// Where the processor does not come up, or an answer does not come or makes no sense.
+pub fn play(campaign: &Campaign) -> Result<Played, CallersError> {
+    let in_range = |value: usize, most: usize| (1..=most).contains(&value);
+    if !in_range(campaign.requests, MOST_REQUESTS)
+        || !in_range(campaign.callers, MOST_CALLERS)
+        || !in_range(campaign.boxes, MOST_BOXES)
+        || campaign.open == 0
+    {
+        return Err(CallersError::TooMuch);
+    }
+    let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build()?;
+    let local = LocalSet::new();
+    local.block_on(&runtime, async {
+        let processor = Processor::start(campaign.program.as_deref(), campaign.boxes).await?;
+        let address = processor.callers()?;
+        let shared = Arc::new(Shared {
+            campaign: campaign.clone(),
+            address,
+            ledger: Mutex::new(Ledger::new(campaign)),
+            began: Instant::now(),
+        });
+        let before = processor.used()?.0;
+        let callers: Vec<_> =
+            (0..campaign.callers).map(|number| tokio::spawn(caller(&shared, number).live())).collect();
+        let mut all = nothing_played();
+        for caller in callers {
+            let one = caller.await.map_err(|e| CallersError::Senseless(0, e.to_string()))??;
+            add(&mut all, &one);
+        }
+        all.span = shared.began.elapsed();
+        let (cpu_s, memory_mb) = processor.used()?;
+        (all.cpu_s, all.memory_mb) = (cpu_s - before, memory_mb);
+        let ledger = shared.ledger.lock().unwrap_or_else(PoisonError::into_inner);
+        all.effects = (ledger.effects, ledger.doubled);
+        Ok(all)
+    })
+}
+
+fn caller(shared: &Arc<Shared>, number: usize) -> Caller {
+    let campaign = &shared.campaign;
+    let mut rng = fastrand::Rng::with_seed(campaign.seed.wrapping_add(1 + number as u64));
+    let wanted = (number..campaign.requests).step_by(campaign.callers);
+    let todo = wanted.map(|n| Wanted { number: n as u64, class: rng.usize(..CLASSES.len()) }).collect();
+    Caller {
+        number,
+        shared: Arc::clone(shared),
+        rng,
+        todo,
+        later: VecDeque::new(),
+        open: FxHashMap::default(),
+        next_tag: 1,
+        asked: 0,
+        played: nothing_played(),
+    }
+}
+
+fn add(all: &mut Played, one: &Played) {
+    all.ends.iter_mut().zip(one.ends).for_each(|(sum, more)| *sum += more);
+    all.decisions += one.decisions;
+    all.sends += one.sends;
+    all.in_flight += one.in_flight;
+    all.overload += one.overload;
+    all.kills += one.kills;
+    // The same bounds: it always fits.
+    let _ = all.times.add(&one.times);
+}
+
+/// How much memory leases take that are out: MB before, MB with them, and how many there are.
+///
+/// # Errors
+/// Where the processor does not come up, or does not grant them.
+pub fn hold(program: &Path, leases: usize, boxes: usize) -> Result<(f64, f64, usize), CallersError> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let local = LocalSet::new();
+    local.block_on(&runtime, async {
+        let processor = Processor::start(Some(program), boxes).await?;
+        let address = processor.callers()?;
+        let mut life = Life::begin(address).await?;
+        let before = processor.used()?.1;
+        let mut held = 0;
+        for tag in 1..=leases as u64 {
+            let id = tag.to_be_bytes().to_vec();
+            let decide = pb::DecideRequest { id, class: "charge".into(), ..pb::DecideRequest::default() };
+            life.ask(tag, pb::question::Question::Decide(decide)).await;
+            let answer = timeout(SILENCE, life.answers.message()).await;
+            let answer = answer.map_err(|_| CallersError::Silence(0, 1))??.and_then(|t| t.answer);
+            held += usize::from(matches!(answer.and_then(|a| a.answer), Some(pb::answer::Answer::Send(_))));
+        }
+        sleep(PACE).await;
+        Ok((before, processor.used()?.1, held))
+    })
+}
--- a/crates/rig/src/cost.rs
+++ b/crates/rig/src/cost.rs
@@ -101,11 +101,11 @@
     Ok(addresses)
 }
 
-/// Serves lists of these boxes to a proxy.
-async fn discovery(boxes: &[SocketAddr]) -> io::Result<SocketAddr> {
+/// Serves lists of these boxes, so many to a cell, to a proxy.
+pub(crate) async fn discovery(boxes: &[SocketAddr], cell: usize) -> io::Result<SocketAddr> {
     let members = boxes.iter().enumerate().map(|(i, address)| {
         json!({"id": format!("b{i}"), "host_port": address.to_string(), "locality": "z0", "flavor": "box",
-            "cell": 0, "phase": "active", "size": 1.0, "up_since_ms": 0})
+            "cell": i / cell, "phase": "active", "size": 1.0, "up_since_ms": 0})
     });
     let list = json!({"revision": 1, "complete": true, "members": members.collect::<Vec<_>>()}).to_string();
     let listener = TcpListener::bind("127.0.0.1:0").await?;
@@ -132,9 +132,25 @@
     Ok(address)
 }
 
-struct Middle {
+pub(crate) struct Middle {
     child: Child,
-    address: SocketAddr,
+    pub(crate) address: SocketAddr,
+    /// Where it listens beside that, if it was waited for.
+    pub(crate) second: Option<SocketAddr>,
+}
+
+/// The address that stands behind these words in a line of the log.
+fn told(log: &mut impl BufRead, words: &str) -> Result<SocketAddr, CostError> {
+    let mut line = String::new();
+    loop {
+        line.clear();
+        if log.read_line(&mut line)? == 0 {
+            return Err(CostError::Middle(format!("the middle ended before it told what it {words}")));
+        }
+        if let Some((_, address)) = line.trim().rsplit_once(words) {
+            return address.parse().map_err(|_| CostError::Middle(line.clone()));
+        }
+    }
 }
 
 impl Drop for Middle {
@@ -145,26 +161,19 @@
 }
 
 impl Middle {
-    fn start(mut command: Command) -> Result<Self, CostError> {
+    /// Starts it and waits until it tells where it listens, and where `also` if these words are given.
+    pub(crate) fn start(mut command: Command, also: Option<&str>) -> Result<Self, CostError> {
         let mut child = command.stdin(Stdio::null()).stderr(Stdio::piped()).spawn()?;
         let log = child.stderr.take().ok_or_else(|| CostError::Middle("no log".into()))?;
         let mut log = BufReader::new(log);
-        let mut line = String::new();
-        loop {
-            line.clear();
-            if log.read_line(&mut line)? == 0 {
-                return Err(CostError::Middle("the middle ended before it listened".into()));
-            }
-            if let Some((_, address)) = line.trim().rsplit_once("listens on ") {
-                let address = address.parse().map_err(|_| CostError::Middle(line.clone()))?;
-                std::thread::spawn(move || io::copy(&mut log, &mut io::sink()));
-                return Ok(Self { child, address });
-            }
-        }
+        let address = told(&mut log, "listens on ")?;
+        let second = also.map(|words| told(&mut log, words)).transpose()?;
+        std::thread::spawn(move || io::copy(&mut log, &mut io::sink()));
+        Ok(Self { child, address, second })
     }
 
     /// CPU seconds so far, and resident memory in MB.
-    fn used(&self) -> Result<(f64, f64), CostError> {
+    pub(crate) fn used(&self) -> Result<(f64, f64), CostError> {
         let file = |name: &str| fs::read_to_string(format!("/proc/{}/{name}", self.child.id()));
         let stat = file("stat")?;
         // Behind the name in brackets: state is the first field, user and system time the 12th and 13th.
@@ -269,20 +278,20 @@
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     LocalSet::new().block_on(&runtime, async {
         let boxes = boxes(load.boxes).await?;
-        let discovery = discovery(&boxes).await?;
+        let discovery = discovery(&boxes, boxes.len()).await?;
         let path = env::temp_dir().join(format!("haventrack-cost-{}.json", std::process::id()));
         let mut rows = Vec::new();
         for _ in 0..load.turns {
             let direct = way(&boxes, load, None).await?;
             let mut command = Command::new(env::current_exe()?);
             command.arg("pass").args(boxes.iter().map(SocketAddr::to_string));
-            let pass = Middle::start(command)?;
+            let pass = Middle::start(command, None)?;
             let passed = way(&[pass.address], load, Some(&pass)).await?;
             drop(pass);
             fs::write(&path, config(load.boxes, discovery))?;
             let mut command = Command::new(&load.proxy);
             command.env("EDGE_CONFIG", &path);
-            let proxy = Middle::start(command)?;
+            let proxy = Middle::start(command, None)?;
             wait_until_up(proxy.address).await?;
             let proxied = way(&[proxy.address], load, Some(&proxy)).await?;
             rows.push([direct, passed, proxied]);
@@ -292,7 +301,7 @@
     })
 }
 
-async fn wait_until_up(address: SocketAddr) -> Result<(), CostError> {
+pub(crate) async fn wait_until_up(address: SocketAddr) -> Result<(), CostError> {
     for _ in 0..500 {
         let mut stream = TcpStream::connect(address).await?;
         stream.write_all(b"GET /up HTTP/1.1\r\nHost: rig\r\n\r\n").await?;
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -5,6 +5,7 @@
 //! [`sockets`]; either way [`judge`] tells from what the stand-ins saw whether the four rules held and what the
 //! service was worth.
 
+pub mod callers;
 pub mod cost;
 pub mod demo;
 pub mod http1;
