--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -10,4 +10,5 @@
 pub mod lease;
 pub mod outside;
 pub mod shell;
+pub mod subject;
 mod timers;
--- a/crates/extproc/src/bridge.rs
+++ b/crates/extproc/src/bridge.rs
@@ -6,7 +6,7 @@
 use crate::question::Unusable;
 use haventrack_decision::api::{BackendId, Micros, Outcome, RequestId, Settings};
 use haventrack_engine::claims;
-use haventrack_engine::engine::{Arrival, Conduct, Ended, Exchange};
+use haventrack_engine::engine::{Ended, Exchange};
 use haventrack_engine::lease::{LeaseError, LeaseId};
 use haventrack_engine::outside::{Inbox, Ticket, Word};
 use haventrack_engine::shell::clock::Clock;
@@ -100,17 +100,7 @@
     <T::Exchange as Exchange>::Reply: From<Ticket>,
 {
     fn admit(&mut self, request: &Request, ticket: Ticket) -> Option<RequestId> {
-        let arrival = Arrival {
-            class: request.class,
-            tenant: request.tenant,
-            key: request.about,
-            arrived: request.arrived,
-            patience: request.patience,
-            work: request.work,
-            repeat: request.repeat,
-            conduct: Conduct::Leased,
-        };
-        self.0.admit(arrival, ticket.into()).ok()
+        self.0.admit(request.arrival(), ticket.into()).ok()
     }
 
     fn report(&mut self, lease: LeaseId, outcome: Outcome, load: Vec<f32>) -> Result<(), LeaseError> {
--- a/crates/extproc/src/desk.rs
+++ b/crates/extproc/src/desk.rs
@@ -9,7 +9,7 @@
 
 use haventrack_decision::api::{Effect, Micros, Outcome, RequestId, Settings};
 use haventrack_engine::claims::{self, ClaimError, ClaimId, Claimed, End, Front, Remembered};
-use haventrack_engine::engine::{Grant, Verdict};
+use haventrack_engine::engine::{Arrival, Conduct, Grant, Verdict};
 use haventrack_engine::lease::{LeaseError, LeaseId};
 use haventrack_engine::outside::{Ticket, Word};
 use rustc_hash::{FxHashMap, FxHashSet};
@@ -64,6 +64,23 @@
     pub once: bool,
 }
 
+impl Request {
+    /// The request as the engine takes it: its caller makes the attempts.
+    #[must_use]
+    pub fn arrival<W>(&self) -> Arrival<W> {
+        Arrival {
+            class: self.class,
+            tenant: self.tenant,
+            key: self.about,
+            arrived: self.arrived,
+            patience: self.patience,
+            work: self.work,
+            repeat: self.repeat,
+            conduct: Conduct::Leased,
+        }
+    }
+}
+
 /// The end of an attempt.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Report {
--- a/crates/extproc/src/question.rs
+++ b/crates/extproc/src/question.rs
@@ -5,8 +5,8 @@
 use crate::settings::Headers;
 use haventrack_decision::api::{Effect, Micros, Settings};
 use haventrack_engine::claims::NAME_CAP;
-use rustc_hash::{FxHashMap, FxHasher};
-use std::hash::Hasher;
+use haventrack_engine::subject::about;
+use rustc_hash::FxHashMap;
 use thiserror::Error;
 
 /// A time left beyond this makes no sense, milliseconds.
@@ -227,17 +227,6 @@
     Ok(number.ok_or_else(|| senseless(name, format!("whole milliseconds to {MOST_TIME_LEFT_MS}")))? * 1_000)
 }
 
-/// What a request is about, from the query parameter `key`; hexadecimal digits, or any text by its hash.
-fn about(query: &str) -> Option<u64> {
-    let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-    let (_, value) = pairs.find(|(name, _)| *name == "key")?;
-    u64::from_str_radix(value, 16).ok().or_else(|| {
-        let mut hasher = FxHasher::default();
-        hasher.write(value.as_bytes());
-        Some(hasher.finish())
-    })
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/crates/extproc/tests/counter/mod.rs
+++ b/crates/extproc/tests/counter/mod.rs
@@ -3,7 +3,7 @@
 
 use haventrack_decision::api::*;
 use haventrack_engine::claims::Claims;
-use haventrack_engine::engine::{Arrival, Bounds, Command, Conduct, Ended, Engine, Exchange};
+use haventrack_engine::engine::{Bounds, Command, Ended, Engine, Exchange};
 use haventrack_engine::lease::{LeaseError, LeaseId};
 use haventrack_engine::outside::{Ticket, Word};
 use haventrack_extproc::desk::{self, Asked, CallerId, Desk, Port, Reply, Report};
@@ -102,17 +102,7 @@
 
 impl Port for At<'_> {
     fn admit(&mut self, request: &desk::Request, ticket: Ticket) -> Option<RequestId> {
-        let arrival = Arrival {
-            class: request.class,
-            tenant: request.tenant,
-            key: request.about,
-            arrived: request.arrived,
-            patience: request.patience,
-            work: request.work,
-            repeat: request.repeat,
-            conduct: Conduct::Leased,
-        };
-        let admitted = self.0.admit(self.1, arrival, ticket).ok();
+        let admitted = self.0.admit(self.1, request.arrival(), ticket).ok();
         self.hear();
         admitted
     }
--- a/crates/proxy/src/clients.rs
+++ b/crates/proxy/src/clients.rs
@@ -11,6 +11,7 @@
 use haventrack_engine::claims;
 use haventrack_engine::engine::{Arrival, Conduct, Overload, Verdict};
 use haventrack_engine::shell::clock::Clock;
+use haventrack_engine::subject::about;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
@@ -18,11 +19,10 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use rustc_hash::{FxHashMap, FxHashSet, FxHasher};
+use rustc_hash::{FxHashMap, FxHashSet};
 use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
 use std::future::Future;
-use std::hash::Hasher;
 use std::pin::{Pin, pin};
 use std::rc::Rc;
 use std::time::Duration;
@@ -369,7 +369,7 @@
         let time_left = time_left.filter(|&ms| ms <= MOST_TIME_LEFT_MS);
         let patience = time_left.ok_or(bad("X-Time-Left-Ms is missing or makes no sense\n"))? * 1_000;
         let (class, patience) = (*class, patience.min(facts.deadline));
-        let key = head.uri.query().and_then(key);
+        let key = head.uri.query().and_then(about);
         let work = text(WEIGHT_HINT).and_then(|v| v.trim().parse().ok());
         let repeat = text(REPEAT) == Some("1");
         let body = collect(body, late).await?;
@@ -464,17 +464,6 @@
     headers
 }
 
-/// What a request is about, as a number.
-fn key(query: &str) -> Option<u64> {
-    let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-    let (_, value) = pairs.find(|(name, _)| *name == "key")?;
-    u64::from_str_radix(value, 16).ok().or_else(|| {
-        let mut hasher = FxHasher::default();
-        hasher.write(value.as_bytes());
-        Some(hasher.finish())
-    })
-}
-
 fn plain(status: StatusCode, text: &'static str) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::new(Bytes::from_static(text.as_bytes())));
     *response.status_mut() = status;
--- a/crates/rig/src/callers.rs
+++ b/crates/rig/src/callers.rs
@@ -3,26 +3,25 @@
 //!
 //! Boxes are entries of the ledger: callers and the processor talk over loopback sockets, a caller and a box do not.
 
-use crate::cost::{CostError, Middle, discovery, wait_until_up};
+mod envoy;
+mod ledger;
+mod processor;
+
+use crate::cost::CostError;
 use haventrack_extproc::generated as pb;
 use haventrack_extproc::generated::decisions_client::DecisionsClient;
-use haventrack_extproc::settings::Settings;
-use haventrack_program::program::{self, Fronts, Listening};
-use haventrack_proxy::carrier::Handle;
-use haventrack_proxy::config::Config;
 use hdrhistogram::Histogram;
+use ledger::Ledger;
+use processor::Processor;
 use rustc_hash::FxHashMap;
-use serde_json::json;
 use std::collections::VecDeque;
+use std::fmt;
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
-use std::process::Command;
+use std::path::PathBuf;
 use std::sync::{Arc, Mutex, PoisonError};
-use std::thread::JoinHandle;
 use std::time::Duration;
-use std::{env, fmt, fs};
 use thiserror::Error;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::mpsc;
 use tokio::task::LocalSet;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 use tokio_stream::wrappers::ReceiverStream;
@@ -32,10 +31,6 @@
 const MOST_REQUESTS: usize = 5_000_000;
 const MOST_CALLERS: usize = 64;
 const MOST_BOXES: usize = 8_000;
-/// Boxes of a cell, which drop each other's repeats.
-const CELL: usize = 3;
-/// How long they remember.
-const KEY_TTL: Duration = Duration::from_secs(3);
 /// A caller that hears nothing for so long has found a lost answer.
 const SILENCE: Duration = Duration::from_secs(15);
 /// How often a paced caller looks whether something is due.
@@ -71,28 +66,55 @@
 }
 
 /// A campaign.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, clap::Args)]
 pub struct Campaign {
     /// Requests of all callers.
+    #[arg(long, default_value_t = 200_000)]
     pub requests: usize,
     /// Callers, each with a connection and a stream.
+    #[arg(long, default_value_t = 4)]
     pub callers: usize,
     /// Requests that each has open.
+    #[arg(long, default_value_t = 64)]
     pub open: usize,
     /// Boxes.
+    #[arg(long, default_value_t = 100)]
     pub boxes: usize,
     /// Requests a second of all callers; 0: as many as there is room for.
+    #[arg(long, default_value_t = 0.0)]
     pub rate: f64,
     /// A caller is killed after so many answers in the mean; 0: never.
+    #[arg(long, default_value_t = 2_000)]
     pub kill_every: usize,
-    /// One attempt in so many meets trouble, and one in ten times so many crashes its box; 0: none.
+    /// One attempt in so many meets trouble, and a tenth of these crash their box; 0: none.
+    #[arg(long, default_value_t = 50)]
     pub trouble_every: usize,
+    /// Speak as Envoy's filter does, a stream for each request.
+    #[arg(long)]
+    pub envoy: bool,
     /// For all random numbers.
+    #[arg(long, default_value_t = 20_261_201)]
     pub seed: u64,
-    /// The program; `None`: the processor is a thread of this process, and nothing is said of its CPU and memory.
+    /// The proxy's program; without it the processor is a thread, and nothing is said of its CPU and memory.
+    #[arg(long, default_value = "target/release/haventrack-proxy")]
     pub program: Option<PathBuf>,
 }
 
+impl fmt::Display for Campaign {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { requests, callers, open, boxes, rate, envoy, seed, .. } = self;
+        let protocol = if *envoy { "ext_proc" } else { "plain stream" };
+        write!(
+            f,
+            "{requests} requests, {callers} callers over the {protocol}, {open} open each, {boxes} boxes, "
+        )?;
+        match *rate > 0.0 {
+            true => write!(f, "{rate} a second, seed {seed}"),
+            false => write!(f, "unpaced, seed {seed}"),
+        }
+    }
+}
+
 /// What became of a campaign.
 #[derive(Clone, Debug)]
 pub struct Played {
@@ -169,81 +191,6 @@
     class: usize,
 }
 
-/// The boxes, and what ran there.
-struct Ledger {
-    rng: fastrand::Rng,
-    trouble_every: usize,
-    /// Attempts until a crashed box is back.
-    down: Vec<u32>,
-    by_address: FxHashMap<String, usize>,
-    /// For each request: where it ran first in its present memory, and when.
-    ran: FxHashMap<u64, (usize, Instant)>,
-    effects: u64,
-    doubled: u64,
-}
-
-fn box_address(index: usize) -> SocketAddr {
-    SocketAddr::from(([127, 1, (index / 200) as u8, 1 + (index % 200) as u8], 9))
-}
-
-impl Ledger {
-    fn new(campaign: &Campaign) -> Self {
-        let addresses = (0..campaign.boxes).map(|i| (box_address(i).to_string(), i));
-        Self {
-            rng: fastrand::Rng::with_seed(campaign.seed),
-            trouble_every: campaign.trouble_every,
-            down: vec![0; campaign.boxes],
-            by_address: addresses.collect(),
-            ran: FxHashMap::default(),
-            effects: 0,
-            doubled: 0,
-        }
-    }
-
-    /// An attempt reaches a box, or does not.
-    fn send(&mut self, to: &str, wanted: &Wanted) -> Option<pb::Outcome> {
-        let at = *self.by_address.get(to)?;
-        if self.down[at] > 0 {
-            self.down[at] -= 1;
-            return Some(pb::Outcome::CouldNotConnect);
-        }
-        let trouble = self.trouble_every > 0 && self.rng.usize(..self.trouble_every) == 0;
-        Some(match trouble.then(|| self.rng.u32(..10)) {
-            None => {
-                self.run(at, wanted);
-                pb::Outcome::Served
-            }
-            Some(0) => {
-                self.down[at] = self.rng.u32(5..60);
-                self.run(at, wanted);
-                pb::Outcome::Reset
-            }
-            Some(1..4) => {
-                self.run(at, wanted);
-                pb::Outcome::Reset
-            }
-            Some(4..7) => pb::Outcome::TurnedAway,
-            Some(_) => pb::Outcome::CouldNotConnect,
-        })
-    }
-
-    fn run(&mut self, at: usize, wanted: &Wanted) {
-        if CLASSES[wanted.class] == "read" {
-            return;
-        }
-        let before = self.ran.get(&wanted.number).copied();
-        let dropped = before.is_some_and(|(first, when)| {
-            CLASSES[wanted.class] == "submit" && first / CELL == at / CELL && when.elapsed() < KEY_TTL
-        });
-        if dropped {
-            return;
-        }
-        self.effects += 1;
-        self.doubled += u64::from(before.is_some());
-        self.ran.insert(wanted.number, (at, Instant::now()));
-    }
-}
-
 struct Shared {
     campaign: Campaign,
     address: SocketAddr,
@@ -252,6 +199,12 @@
 }
 
 impl Shared {
+    /// Whether a caller that has asked so often may ask again.
+    fn is_due(&self, asked: u64) -> bool {
+        let rate = self.campaign.rate / self.campaign.callers as f64;
+        rate <= 0.0 || (asked as f64) < self.began.elapsed().as_secs_f64() * rate
+    }
+
     fn send(&self, to: &str, wanted: &Wanted) -> Option<pb::Outcome> {
         self.ledger.lock().unwrap_or_else(PoisonError::into_inner).send(to, wanted)
     }
@@ -349,18 +302,12 @@
         [paced, later].into_iter().flatten().min()
     }
 
-    fn is_due(&self) -> bool {
-        let campaign = &self.shared.campaign;
-        let rate = campaign.rate / campaign.callers as f64;
-        rate <= 0.0 || (self.asked as f64) < self.shared.began.elapsed().as_secs_f64() * rate
-    }
-
     async fn ask_what_is_due(&mut self, life: &Life) {
         let now = Instant::now();
         while self.later.front().is_some_and(|(at, _)| *at <= now) {
             self.todo.extend(self.later.pop_front().map(|(_, wanted)| wanted));
         }
-        while self.open.len() < self.shared.campaign.open && self.is_due() {
+        while self.open.len() < self.shared.campaign.open && self.shared.is_due(self.asked) {
             let Some(wanted) = self.todo.pop_front() else { return };
             self.asked += 1;
             let tag = self.next_tag;
@@ -435,116 +382,6 @@
     }
 }
 
-fn config(boxes: usize, discovery: SocketAddr) -> String {
-    let class = |name: &str, effect: &str| {
-        json!({"name": name, "effect": effect, "group": "cell", "keyTtlUs": 3_000_000, "aimUs": 2_000_000,
-            "deadlineUs": 5_000_000, "worth": 1.0, "lateWorth": 0.5})
-    };
-    json!({"name": "callers", "listen": "127.0.0.1:0", "discovery": discovery.to_string(), "seed": "7",
-        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024 + 4 * boxes},
-        "known": {"revision": 0, "complete": true, "members": []},
-        "settings": {"me": 0, "balancers": 1, "zone": 0, "failureDomains": ["z0"], "kinds": ["box"],
-            "membershipMode": "pushed",
-            "classes": [class("read", "retryable"), class("submit", "dedup"), class("charge", "fragile")],
-            "permissions": {"maxAttempts": 3, "connIdleUs": 60_000_000, "retryAfter": true,
-                "maxRetryAfterUs": 1_000_000, "dialTimeoutUs": 250_000},
-            "safety": {"coldFrom": 0.33, "coldUs": 8_000_000, "fallMultiple": 3.0, "fallUs": 2_000_000}}})
-    .to_string()
-}
-
-const EXTPROC: &str = "listen = \"127.0.0.1:0\"\n";
-
-/// The processor: a process of its own, whose CPU time and memory are the operating system's account, or a thread of this
-/// one, without an account.
-enum Processor {
-    Process { middle: Middle, files: [PathBuf; 2] },
-    Thread { listening: Listening, stop: Option<oneshot::Sender<()>>, thread: Option<JoinHandle<()>> },
-}
-
-impl Drop for Processor {
-    fn drop(&mut self) {
-        match self {
-            Self::Process { files, .. } => files.iter().for_each(|file| drop(fs::remove_file(file))),
-            Self::Thread { stop, thread, .. } => {
-                drop(stop.take());
-                thread.take().map(JoinHandle::join);
-            }
-        }
-    }
-}
-
-impl Processor {
-    /// Starts it and waits until it has heard of boxes.
-    async fn start(program: Option<&Path>, boxes: usize) -> Result<Self, CallersError> {
-        let addresses: Vec<SocketAddr> = (0..boxes).map(box_address).collect();
-        let config = config(boxes, discovery(&addresses, CELL).await?);
-        let processor = match program {
-            Some(program) => Self::process(program, &config)?,
-            None => Self::thread(&config)?,
-        };
-        let clients = match &processor {
-            Self::Process { middle, .. } => middle.address,
-            Self::Thread { listening, .. } => listening.clients,
-        };
-        wait_until_up(clients).await?;
-        Ok(processor)
-    }
-
-    fn process(program: &Path, config: &str) -> Result<Self, CallersError> {
-        let file =
-            |name: &str| env::temp_dir().join(format!("haventrack-callers-{}.{name}", std::process::id()));
-        let files = [file("json"), file("toml")];
-        fs::write(&files[0], config)?;
-        fs::write(&files[1], EXTPROC)?;
-        let mut command = Command::new(program);
-        command.env("EDGE_CONFIG", &files[0]).arg("--extproc").arg(&files[1]);
-        let middle = Middle::start(command, Some("answers callers on "))?;
-        Ok(Self::Process { middle, files })
-    }
-
-    fn thread(config: &str) -> Result<Self, CallersError> {
-        let wrong = |e: &dyn fmt::Display| CallersError::Process(CostError::Middle(e.to_string()));
-        let http = Config::parse(config.as_bytes(), |_| None).map_err(|e| wrong(&e))?;
-        let extproc = Settings::parse(EXTPROC, Path::new("extproc.toml")).map_err(|e| wrong(&e))?;
-        let fronts = Fronts { http, extproc: Some(extproc) };
-        let (stop, stopped) = oneshot::channel::<()>();
-        let (told, heard) = std::sync::mpsc::channel();
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-        let thread = std::thread::spawn(move || {
-            let stop = async {
-                let _ = stopped.await;
-            };
-            let started = move |_: &Handle, listening| {
-                let _ = told.send(listening);
-            };
-            let served = LocalSet::new().block_on(&runtime, program::serve(fronts, stop, None, started));
-            if let Err(error) = served {
-                eprintln!("the processor: {error}");
-            }
-        });
-        let listening = heard.recv().map_err(|_| wrong(&"it ended before it listened"))?;
-        Ok(Self::Thread { listening, stop: Some(stop), thread: Some(thread) })
-    }
-
-    fn callers(&self) -> Result<SocketAddr, CallersError> {
-        let callers = match self {
-            Self::Process { middle, .. } => middle.second,
-            Self::Thread { listening, .. } => listening.callers,
-        };
-        callers.ok_or_else(|| {
-            CallersError::Process(CostError::Middle("the program tells no address for callers".into()))
-        })
-    }
-
-    /// CPU seconds so far, and resident memory in MB.
-    fn used(&self) -> Result<(f64, f64), CallersError> {
-        match self {
-            Self::Process { middle, .. } => Ok(middle.used()?),
-            Self::Thread { .. } => Ok((0.0, 0.0)),
-        }
-    }
-}
-
 /// Plays a campaign against a processor of its own.
 ///
 /// # Errors
@@ -570,8 +407,12 @@
             began: Instant::now(),
         });
         let before = processor.used()?.0;
-        let callers: Vec<_> =
-            (0..campaign.callers).map(|number| tokio::spawn(caller(&shared, number).live())).collect();
+        let callers: Vec<_> = (0..campaign.callers)
+            .map(|number| match campaign.envoy {
+                true => tokio::spawn(envoy::live(Arc::clone(&shared), number)),
+                false => tokio::spawn(caller(&shared, number).live()),
+            })
+            .collect();
         let mut all = nothing_played();
         for caller in callers {
             let one = caller.await.map_err(|e| CallersError::Senseless(0, e.to_string()))??;
@@ -586,11 +427,16 @@
     })
 }
 
-fn caller(shared: &Arc<Shared>, number: usize) -> Caller {
-    let campaign = &shared.campaign;
+/// A caller's own random numbers, and its part of the requests.
+fn part(campaign: &Campaign, number: usize) -> (fastrand::Rng, VecDeque<Wanted>) {
     let mut rng = fastrand::Rng::with_seed(campaign.seed.wrapping_add(1 + number as u64));
     let wanted = (number..campaign.requests).step_by(campaign.callers);
     let todo = wanted.map(|n| Wanted { number: n as u64, class: rng.usize(..CLASSES.len()) }).collect();
+    (rng, todo)
+}
+
+fn caller(shared: &Arc<Shared>, number: usize) -> Caller {
+    let (rng, todo) = part(&shared.campaign, number);
     Caller {
         number,
         shared: Arc::clone(shared),
@@ -619,11 +465,11 @@
 ///
 /// # Errors
 /// Where the processor does not come up, or does not grant them.
-pub fn hold(program: &Path, leases: usize, boxes: usize) -> Result<(f64, f64, usize), CallersError> {
+pub fn hold(campaign: &Campaign, leases: usize) -> Result<(f64, f64, usize), CallersError> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let local = LocalSet::new();
     local.block_on(&runtime, async {
-        let processor = Processor::start(Some(program), boxes).await?;
+        let processor = Processor::start(campaign.program.as_deref(), campaign.boxes).await?;
         let address = processor.callers()?;
         let mut life = Life::begin(address).await?;
         let before = processor.used()?.1;
--- /dev/null
+++ b/crates/rig/src/callers/processor.rs
@@ -0,0 +1,127 @@
+//! The processor of a campaign, and its configuration.
+
+use super::CallersError;
+use super::ledger::{CELL, box_address};
+use crate::cost::{CostError, Middle, discovery, wait_until_up};
+use haventrack_extproc::settings::Settings;
+use haventrack_program::program::{self, Fronts, Listening};
+use haventrack_proxy::carrier::Handle;
+use haventrack_proxy::config::Config;
+use serde_json::json;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::Command;
+use std::thread::JoinHandle;
+use std::{env, fmt, fs};
+use tokio::sync::oneshot;
+use tokio::task::LocalSet;
+
+fn config(boxes: usize, discovery: SocketAddr) -> String {
+    let class = |name: &str, effect: &str| {
+        json!({"name": name, "effect": effect, "group": "cell", "keyTtlUs": 3_000_000, "aimUs": 2_000_000,
+            "deadlineUs": 5_000_000, "worth": 1.0, "lateWorth": 0.5})
+    };
+    json!({"name": "callers", "listen": "127.0.0.1:0", "discovery": discovery.to_string(), "seed": "7",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024 + 4 * boxes},
+        "known": {"revision": 0, "complete": true, "members": []},
+        "settings": {"me": 0, "balancers": 1, "zone": 0, "failureDomains": ["z0"], "kinds": ["box"],
+            "membershipMode": "pushed",
+            "classes": [class("read", "retryable"), class("submit", "dedup"), class("charge", "fragile")],
+            "permissions": {"maxAttempts": 3, "connIdleUs": 60_000_000, "retryAfter": true,
+                "maxRetryAfterUs": 1_000_000, "dialTimeoutUs": 250_000},
+            "safety": {"coldFrom": 0.33, "coldUs": 8_000_000, "fallMultiple": 3.0, "fallUs": 2_000_000}}})
+    .to_string()
+}
+
+const EXTPROC: &str = "listen = \"127.0.0.1:0\"\n";
+
+/// The processor: a process of its own, whose CPU time and memory are the operating system's account, or a thread of this
+/// one, without an account.
+pub(super) enum Processor {
+    Process { middle: Middle, files: [PathBuf; 2] },
+    Thread { listening: Listening, stop: Option<oneshot::Sender<()>>, thread: Option<JoinHandle<()>> },
+}
+
+impl Drop for Processor {
+    fn drop(&mut self) {
+        match self {
+            Self::Process { files, .. } => files.iter().for_each(|file| drop(fs::remove_file(file))),
+            Self::Thread { stop, thread, .. } => {
+                drop(stop.take());
+                thread.take().map(JoinHandle::join);
+            }
+        }
+    }
+}
+
+impl Processor {
+    /// Starts it and waits until it has heard of boxes.
+    pub(super) async fn start(program: Option<&Path>, boxes: usize) -> Result<Self, CallersError> {
+        let addresses: Vec<SocketAddr> = (0..boxes).map(box_address).collect();
+        let config = config(boxes, discovery(&addresses, CELL).await?);
+        let processor = match program {
+            Some(program) => Self::process(program, &config)?,
+            None => Self::thread(&config)?,
+        };
+        let clients = match &processor {
+            Self::Process { middle, .. } => middle.address,
+            Self::Thread { listening, .. } => listening.clients,
+        };
+        wait_until_up(clients).await?;
+        Ok(processor)
+    }
+
+    fn process(program: &Path, config: &str) -> Result<Self, CallersError> {
+        let file =
+            |name: &str| env::temp_dir().join(format!("haventrack-callers-{}.{name}", std::process::id()));
+        let files = [file("json"), file("toml")];
+        fs::write(&files[0], config)?;
+        fs::write(&files[1], EXTPROC)?;
+        let mut command = Command::new(program);
+        command.env("EDGE_CONFIG", &files[0]).arg("--extproc").arg(&files[1]);
+        let middle = Middle::start(command, Some("answers callers on "))?;
+        Ok(Self::Process { middle, files })
+    }
+
+    fn thread(config: &str) -> Result<Self, CallersError> {
+        let wrong = |e: &dyn fmt::Display| CallersError::Process(CostError::Middle(e.to_string()));
+        let http = Config::parse(config.as_bytes(), |_| None).map_err(|e| wrong(&e))?;
+        let extproc = Settings::parse(EXTPROC, Path::new("extproc.toml")).map_err(|e| wrong(&e))?;
+        let fronts = Fronts { http, extproc: Some(extproc) };
+        let (stop, stopped) = oneshot::channel::<()>();
+        let (told, heard) = std::sync::mpsc::channel();
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+        let thread = std::thread::spawn(move || {
+            let stop = async {
+                let _ = stopped.await;
+            };
+            let started = move |_: &Handle, listening| {
+                let _ = told.send(listening);
+            };
+            let served = LocalSet::new().block_on(&runtime, program::serve(fronts, stop, None, started));
+            if let Err(error) = served {
+                eprintln!("the processor: {error}");
+            }
+        });
+        let listening = heard.recv().map_err(|_| wrong(&"it ended before it listened"))?;
+        Ok(Self::Thread { listening, stop: Some(stop), thread: Some(thread) })
+    }
+
+    pub(super) fn callers(&self) -> Result<SocketAddr, CallersError> {
+        let callers = match self {
+            Self::Process { middle, .. } => middle.second,
+            Self::Thread { listening, .. } => listening.callers,
+        };
+        callers.ok_or_else(|| {
+            CallersError::Process(CostError::Middle("the program tells no address for callers".into()))
+        })
+    }
+
+    /// CPU seconds so far, and resident memory in MB.
+    pub(super) fn used(&self) -> Result<(f64, f64), CallersError> {
+        match self {
+            Self::Process { middle, .. } => Ok(middle.used()?),
+            Self::Thread { .. } => Ok((0.0, 0.0)),
+        }
+    }
+}
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -75,36 +75,11 @@
     },
     /// Play callers of the external processor that are killed at random among boxes that crash, and measure a decision.
     Callers {
-        /// Requests of all callers.
-        #[arg(long, default_value_t = 200_000)]
-        requests: usize,
-        /// Callers, each with a connection and a stream.
-        #[arg(long, default_value_t = 4)]
-        callers: usize,
-        /// Requests that each has open.
-        #[arg(long, default_value_t = 64)]
-        open: usize,
-        /// Boxes.
-        #[arg(long, default_value_t = 100)]
-        boxes: usize,
-        /// Requests a second of all callers; 0: as many as there is room for.
-        #[arg(long, default_value_t = 0.0)]
-        rate: f64,
-        /// A caller is killed after so many answers in the mean; 0: never.
-        #[arg(long, default_value_t = 2_000)]
-        kill_every: usize,
-        /// One attempt in so many meets trouble, a tenth of these crash a box; 0: none.
-        #[arg(long, default_value_t = 50)]
-        trouble_every: usize,
-        /// For all random numbers.
-        #[arg(long, default_value_t = 20_261_201)]
-        seed: u64,
+        #[command(flatten)]
+        campaign: Campaign,
         /// Measure the memory of so many leases that are out in place of that.
         #[arg(long)]
         hold: Option<usize>,
-        /// The proxy's program.
-        #[arg(long, default_value = "target/release/haventrack-proxy")]
-        proxy: PathBuf,
     },
     /// The minimal pass-through of `cost`, by itself.
     #[command(hide = true)]
@@ -187,30 +162,16 @@
         Command::Cost { boxes, clients, requests, turns, proxy } => {
             measure(&Load { boxes, clients, requests, turns, proxy })
         }
-        Command::Callers { hold: Some(leases), boxes, proxy, .. } => {
-            let (before, with, held) = callers::hold(&proxy, leases, boxes)?;
-            println!("{held} leases out at {boxes} boxes: {before:.1} MB -> {with:.1} MB");
+        Command::Callers { campaign, hold: Some(leases) } => {
+            let (before, with, held) = callers::hold(&campaign, leases)?;
+            println!("{held} leases out at {} boxes: {before:.1} MB -> {with:.1} MB", campaign.boxes);
             Ok(held > 0)
         }
-        Command::Callers {
-            requests,
-            callers,
-            open,
-            boxes,
-            rate,
-            kill_every,
-            trouble_every,
-            seed,
-            proxy,
-            hold: None,
-        } => {
-            let program = Some(proxy);
-            let campaign =
-                Campaign { requests, callers, open, boxes, rate, kill_every, trouble_every, seed, program };
-            println!("{requests} requests, {callers} callers, {open} open each, {boxes} boxes, seed {seed}");
+        Command::Callers { campaign, hold: None } => {
+            println!("{campaign}");
             let played = callers::play(&campaign)?;
             println!("{played}");
-            Ok(played.ended() == requests as u64 && played.effects.1 == 0)
+            Ok(played.ended() == campaign.requests as u64 && played.effects.1 == 0)
         }
         Command::Pass { boxes } => {
             cost::pass_through(&boxes)?;
--- a/crates/rig/tests/callers.rs
+++ b/crates/rig/tests/callers.rs
@@ -4,7 +4,7 @@
 
 #[test]
 fn every_request_has_its_decision_and_no_effect_is_doubled() {
-    for seed in [1, 2] {
+    for (seed, envoy) in [(1, false), (2, false), (3, true)] {
         let campaign = Campaign {
             requests: 6_000,
             callers: 4,
@@ -13,6 +13,7 @@
             rate: 0.0,
             kill_every: 300,
             trouble_every: 20,
+            envoy,
             seed,
             program: None,
         };
