--- a/crates/program/src/program.rs
+++ b/crates/program/src/program.rs
@@ -16,6 +16,7 @@
 use haventrack_proxy::discovery::{Translator, Watcher};
 use haventrack_proxy::log::log;
 use haventrack_proxy::names::Names;
+use haventrack_proxy::turns::Turns;
 use std::cell::{Cell, RefCell};
 use std::future::Future;
 use std::io;
@@ -199,7 +200,9 @@
     let translator = Translator::new(clock, &config.names);
     let subscriptions = asked.then_some(subscriptions);
     let (discovery, addresses) = watch::channel(config.discovery);
-    let mut watcher = Watcher::new(addresses, translator, handle.clone(), Rc::clone(&held), subscriptions);
+    let turns = Turns::of(settings.me, settings.balancers, settings.safety.ask_within);
+    let mut watcher =
+        Watcher::new(addresses, translator, handle.clone(), Rc::clone(&held), subscriptions, turns);
     watcher.start_from(config.known);
     let (phase, phases) = watch::channel(Phase::Running);
     let most = config.client_sockets;
--- a/crates/program/tests/proxy/main.rs
+++ b/crates/program/tests/proxy/main.rs
@@ -491,6 +491,26 @@
     }
 }
 
+/// A bank so large that all of its watches can't be answered at once: whoever comes back serves from what it knew and
+/// asks for changes at its turn, and a proxy that knew nothing asks at once.
+#[test]
+fn a_proxy_of_a_large_bank_serves_from_what_it_knew_and_asks_for_changes_alone() {
+    let discovery = Discovery::start();
+    let backend = Backend::start(|_| ok("there"));
+    let mut config = config("turns", &discovery);
+    config["settings"]["membershipMode"] = "on_request".into();
+    config["settings"]["balancers"] = 30.into();
+    let proxy = Proxy::start_with("turns-new", config.clone());
+    assert_eq!((discovery.next_call(), proxy.client().ask(UP).status()), (None, 503));
+    let known = [entry("s-1", backend.address, "active", 0)];
+    config["known"] = serde_json::json!({"revision": 7, "complete": true, "members": known});
+    let proxy = Proxy::start_with("turns-back", config);
+    assert_eq!(proxy.client().ask(&request("read", "1", "")).status(), 200);
+    assert_eq!(discovery.next_call(), Some(7));
+    // The call is on its way for as long as discovery has nothing newer; the list that is held serves on.
+    assert_eq!(proxy.client().ask(&request("read", "2", "")).status(), 200);
+}
+
 /// Each backend takes one request and keeps it; there are more backends than descriptors for them.
 #[test]
 fn a_shortage_of_descriptors_is_blamed_on_no_backend() {
--- a/crates/proxy/src/discovery.rs
+++ b/crates/proxy/src/discovery.rs
@@ -4,8 +4,9 @@
 use crate::carrier::{Handle, Scope, tell_list};
 use crate::log::log;
 use crate::names::Names;
+use crate::turns::Turns;
 use bytes::Bytes;
-use haventrack_decision::api::{Backend, BackendId, Readiness};
+use haventrack_decision::api::{Backend, BackendId, Micros, Readiness};
 use haventrack_engine::shell::clock::Clock;
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::client::conn::http1::{self, SendRequest};
@@ -23,15 +24,16 @@
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinHandle;
-use tokio::time::{sleep, timeout};
+use tokio::time::{sleep, sleep_until, timeout};
 
 /// How long a watch may wait. An agent on this machine costs nothing to ask: a short wait bounds how long a
 /// broken call goes unnoticed.
 const PUSHED_WAIT: Duration = Duration::from_secs(3);
 /// A service that all proxies share is asked more seldom.
 const ASKED_WAIT: Duration = Duration::from_secs(20);
-/// How long a call may take beyond its wait.
-const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// How long a call may take beyond its wait. A service that takes calls in turn fails those that waited 2 s: whoever
+/// gives up before has it work for nobody.
+const CALL_TIMEOUT: Duration = Duration::from_millis(2_500);
 const FIRST_BACKOFF: Duration = Duration::from_millis(50);
 const MOST_DOUBLINGS: u32 = 4;
 /// The largest list; thousands of entries fit in.
@@ -232,12 +234,18 @@
     revision: Option<u64>,
     /// Discovery is at a new address: it is called without the module's asking.
     moved: bool,
+    /// When it may begin a watch on a service that a large bank shares, and when it last did.
+    turns: Option<Turns>,
+    called: Option<Micros>,
+    /// A watch has to be begun. The module decides when, where a service is asked.
+    begins: bool,
     /// The list of the configuration can be served from.
     fallback: bool,
 }
 
 impl Watcher {
-    /// A watcher that has made no call. With `asked` it begins a watch only when told to, otherwise by itself.
+    /// A watcher that has made no call. With `asked` it begins a watch only when told to, otherwise by itself. With
+    /// `turns` as well it begins one at its turns only.
     #[must_use]
     pub fn new(
         addresses: watch::Receiver<SocketAddr>,
@@ -245,21 +253,38 @@
         handle: Handle,
         held: Rc<Cell<bool>>,
         asked: Option<mpsc::UnboundedReceiver<()>>,
+        turns: Option<Turns>,
     ) -> Self {
-        let (conn, revision) = (None, None);
-        Self { addresses, translator, handle, held, asked, conn, revision, moved: false, fallback: false }
+        let turns = turns.filter(|_| asked.is_some());
+        Self {
+            addresses,
+            translator,
+            handle,
+            held,
+            asked,
+            conn: None,
+            revision: None,
+            moved: false,
+            turns,
+            called: None,
+            begins: true,
+            fallback: false,
+        }
     }
 
-    /// Hands on the list that the configuration holds. It may be old: the next call asks for the whole list.
+    /// Hands on the list that the configuration holds. It may be old: the next call asks for the whole list, or, where
+    /// many proxies that come back at once would ask for more lists than the service can write, for what has changed.
     pub fn start_from(&mut self, known: Value) {
-        let entries = self.translator.list(known).map_or_else(
-            |error| {
-                log(format_args!("`known`: {error}"));
-                Vec::new()
-            },
-            |list| list.entries,
-        );
+        let list = self.translator.list(known).unwrap_or_else(|error| {
+            log(format_args!("`known`: {error}"));
+            List { revision: 0, complete: false, entries: Vec::new() }
+        });
+        let entries = list.entries;
         self.fallback = entries.iter().any(|e| e.backend.readiness == Readiness::Ready);
+        if self.turns.is_some() && self.fallback {
+            self.revision = list.complete.then_some(list.revision);
+            self.held.set(true);
+        }
         // Also where nothing is known: the module asks for changes when it is told so.
         tell_list(&self.handle, Scope::Cached, &entries);
     }
@@ -280,15 +305,18 @@
     /// each service's own: one taken along would make the new service leave out what this proxy lacks. The list
     /// that is held serves on until the new one has come.
     fn leave(&mut self) {
-        (self.conn, self.revision, self.moved) = (None, None, true);
+        (self.conn, self.revision, self.moved, self.begins) = (None, None, true, true);
     }
 
     /// Follows discovery where it is now. Ends with the process.
     async fn follow(&mut self) {
         let mut failures = 0_u32;
         loop {
-            if (self.revision.is_none() || failures > 0) && !std::mem::take(&mut self.moved) {
-                self.wait_for_call().await;
+            if std::mem::take(&mut self.begins) {
+                if !std::mem::take(&mut self.moved) {
+                    self.wait_for_call().await;
+                }
+                self.wait_for_turn().await;
             }
             match self.call().await {
                 Ok(list) => {
@@ -300,7 +328,7 @@
                         log(format_args!("discovery: {error}"));
                     }
                     failures = failures.saturating_add(1);
-                    self.conn = None;
+                    (self.conn, self.begins) = (None, true);
                     self.after_failure(failures).await;
                 }
             }
@@ -317,6 +345,16 @@
         }
     }
 
+    /// Whoever holds no list asks at once.
+    async fn wait_for_turn(&mut self) {
+        let Some(turns) = self.turns.filter(|_| self.held.get()) else { return };
+        let clock = self.handle.clock();
+        let now = clock.now();
+        let at = now + turns.wait(now, self.called);
+        sleep_until(clock.instant(at)).await;
+        self.called = Some(at);
+    }
+
     fn pass_on(&mut self, list: List) {
         self.revision = Some(list.revision);
         self.held.set(true);
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -10,3 +10,4 @@
 pub mod discovery;
 pub mod log;
 pub mod names;
+pub mod turns;
