--- a/crates/proxy/src/turns.rs
+++ b/crates/proxy/src/turns.rs
@@ -24,7 +24,7 @@
 }
 
 impl Turns {
-    /// The turns of proxy `me` of `balancers`; `None` for a bank so small that each keeps its watch up. `ask_within` is
+    /// The turns of proxy `me` of `balancers`; `None` for a bank so small that each begins at once. `ask_within` is
     /// the time after which an instance that has not asked is taken to know the list.
     #[must_use]
     pub fn of(me: u32, balancers: u32, ask_within: Micros) -> Option<Self> {
