--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -42,6 +42,11 @@
     type Reply;
     /// A backend's answer.
     type Payload;
+
+    /// Whether this can be sent only once, since not all of it is kept.
+    fn goes_once(_work: &Self::Work) -> bool {
+        false
+    }
 }
 
 /// Who makes the attempts of a request.
@@ -97,11 +102,13 @@
     pub payload: Option<P>,
     /// The load report that came along, in the order of the settings; empty: none.
     pub report: Vec<f32>,
+    /// The part of its time in which the attempt waited for its client; it says nothing of the backend.
+    pub waited: Micros,
 }
 
 impl<P> From<Outcome> for Ended<P> {
     fn from(outcome: Outcome) -> Self {
-        Self { outcome, payload: None, report: Vec::new() }
+        Self { outcome, payload: None, report: Vec::new(), waited: 0 }
     }
 }
 
@@ -612,7 +619,8 @@
         let Some(attempt) = open.attempts.get_mut(usize::from(number)) else { return };
         let was = std::mem::replace(&mut attempt.state, State::Ended);
         assert!(was != State::Ended, "attempt {number} of request {request} ends twice");
-        let (backend, elapsed) = (attempt.backend, now.saturating_sub(attempt.sent_at));
+        let (backend, elapsed) =
+            (attempt.backend, now.saturating_sub(attempt.sent_at).saturating_sub(ended.waited));
         // The first answer of a backend reaches the client without being asked for.
         if ended.outcome == Outcome::Ok {
             self.answer(request, Verdict::Served(ended.payload));
@@ -689,8 +697,12 @@
         match &open.conduct {
             _ if !may_go => self.never_sent.push_back(Pending { request, attempt }),
             Conduct::Carried(work) => {
-                let work = work.clone();
+                let (work, once) = (work.clone(), X::goes_once(work));
                 self.commands.push_back(Command::Start { request, attempt, backend, give_up_at, work });
+                if once {
+                    // What is not kept can't be sent again, whatever comes of it.
+                    self.balancer.handle(now, Event::FirstByte { request, attempt }, &mut self.actions);
+                }
             }
             Conduct::Leased => self.grant(now, request, attempt, backend, give_up_at),
         }
--- a/crates/extproc/src/bridge.rs
+++ b/crates/extproc/src/bridge.rs
@@ -104,7 +104,7 @@
     }
 
     fn report(&mut self, lease: LeaseId, outcome: Outcome, load: Vec<f32>) -> Result<(), LeaseError> {
-        self.0.report(lease, Ended { outcome, payload: None, report: load })
+        self.0.report(lease, Ended { outcome, payload: None, report: load, waited: 0 })
     }
 
     fn establish(&mut self, lease: LeaseId) -> Result<Micros, LeaseError> {
--- a/crates/program/src/main.rs
+++ b/crates/program/src/main.rs
@@ -80,8 +80,8 @@
         settings.zones
     );
     println!(
-        "  at most {} connections from clients and {} to backends, {} bytes of large answers",
-        config.client_sockets, config.backend_sockets, config.large_answers
+        "  at most {} connections from clients and {} to backends, {} bytes of large bodies",
+        config.client_sockets, config.backend_sockets, config.large_bodies
     );
     if let Some((path, extproc)) = extproc {
         let bounds = &extproc.bounds;
--- a/crates/program/src/program.rs
+++ b/crates/program/src/program.rs
@@ -182,7 +182,6 @@
     let asked = settings.discovery_on_request;
     let fleet = Fleet::new(
         config.backend_sockets,
-        config.large_answers,
         config.dial_timeout,
         settings.permissions.conn_idle,
         config.names.report.clone(),
@@ -237,8 +236,17 @@
     watcher.start_from(config.known);
     let (phase, phases) = watch::channel(Phase::Running);
     let most = config.client_sockets;
-    let clients =
-        Clients::new(handle.clone(), clock, &settings, &config.names, Rc::clone(&held), phases, most, claims);
+    let clients = Clients::new(
+        handle.clone(),
+        clock,
+        &settings,
+        &config.names,
+        Rc::clone(&held),
+        phases,
+        most,
+        config.large_bodies,
+        claims,
+    );
     let sockets = Sockets { clients: most, backends: config.backend_sockets };
     let staff = files.map(|files| {
         let (listener, clients) = (Rc::clone(&listener), Rc::clone(&clients));
--- /dev/null
+++ b/crates/program/tests/bodies/main.rs
@@ -0,0 +1,345 @@
+//! Large and slow messages, and the forms that HTTP/1.1 gives them, on loopback sockets.
+
+#[path = "../proxy/rig.rs"]
+mod rig;
+
+use rig::{Backend, Client, Discovery, PATIENCE, Proxy, Reply, Seen, answer, config, entry, ok, request};
+use std::io::{BufRead, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::{fs, thread};
+
+const MEGABYTE: usize = 1 << 20;
+
+/// A proxy with so much memory, before this backend.
+fn proxy(name: &str, memory_mb: u64, discovery: &Discovery, backend: SocketAddr) -> Proxy {
+    let mut config = config(name, discovery);
+    config["limits"]["memory_mb"] = memory_mb.into();
+    let proxy = Proxy::start_with(name, config);
+    discovery.post(true, &[entry("s-1", backend, "active", 0)]);
+    proxy
+}
+
+/// A backend that answers a request by this function, with its connection in hand.
+fn by_hand(serve: impl Fn(Seen, &mut TcpStream) + Send + Clone + 'static) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            let (Ok(mut stream), serve) = (stream, serve.clone()) else { return };
+            thread::spawn(move || {
+                let mut reader = std::io::BufReader::new(stream.try_clone().expect("a clone"));
+                while let Some(request) = rig::read_message(&mut reader) {
+                    serve(request, &mut stream);
+                }
+            });
+        }
+    });
+    address
+}
+
+/// Bytes that differ from place to place, so that a lost or doubled piece shows.
+fn pattern(size: usize) -> Vec<u8> {
+    (0..size).map(|n| (n / 251 + n) as u8).collect()
+}
+
+fn chunked(pieces: &[&[u8]], extension: &str, trailers: &str) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    for piece in pieces {
+        bytes.extend_from_slice(format!("{:x}{extension}\r\n", piece.len()).as_bytes());
+        bytes.extend_from_slice(piece);
+        bytes.extend_from_slice(b"\r\n");
+    }
+    bytes.extend_from_slice(format!("0\r\n{trailers}\r\n").as_bytes());
+    bytes
+}
+
+fn chunked_head(class: &str, id: &str) -> String {
+    request(class, id, "").replace("Content-Length: 0\r\n", "Transfer-Encoding: chunked\r\n")
+}
+
+/// The most memory that a process has held, in bytes.
+fn peak_memory(process: u32) -> usize {
+    let status = fs::read_to_string(format!("/proc/{process}/status")).expect("its status");
+    let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).expect("its peak");
+    line.trim().trim_end_matches(" kB").parse::<usize>().expect("a number") * 1024
+}
+
+#[test]
+fn a_chunked_request_passes_with_extensions_trailers_and_any_cut() {
+    let discovery = Discovery::start();
+    let backend = Backend::start(|request| Reply::Write(answer("200 OK", "", &request.body)));
+    let proxy = proxy("chunked", 192, &discovery, backend.address);
+    let body = pattern(50_000);
+    for (id, cut) in [1_000, 4_096, 50_000].into_iter().enumerate() {
+        let pieces: Vec<&[u8]> = body.chunks(cut).collect();
+        let mut client = proxy.client();
+        client.send(&chunked_head("charge", &format!("c{id}")));
+        client.stream.write_all(&chunked(&pieces, ";a=\"b\"", "X-Trail: 1\r\n")).expect("the proxy reads");
+        let got = client.receive();
+        assert!((got.status(), got.body == body) == (200, true), "{}", got.head);
+        let seen = backend.next();
+        assert!(seen.header("transfer-encoding").is_none() && seen.header("x-trail").is_none());
+        // The connection goes on.
+        assert_eq!(client.ask(&request("charge", &format!("d{id}"), "x")).body, b"x");
+        backend.next();
+    }
+}
+
+#[test]
+fn broken_chunks_are_turned_away_and_pass_to_nobody() {
+    let discovery = Discovery::start();
+    let backend = Backend::start(|_| ok("fine"));
+    let proxy = proxy("broken-chunks", 192, &discovery, backend.address);
+    let bodies = [
+        "zz\r\nabc\r\n0\r\n\r\n",
+        "-3\r\nabc\r\n0\r\n\r\n",
+        "fffffffffffffffff\r\nabc\r\n",
+        "3\r\nabcde\r\n0\r\n\r\n",
+    ];
+    for (id, body) in bodies.into_iter().enumerate() {
+        let mut client = proxy.client();
+        let got = client.ask(&format!("{}{body}", chunked_head("charge", &format!("b{id}"))));
+        assert_eq!(got.status(), 400, "{body:?}");
+        assert!(client.ends_cleanly());
+    }
+    let other = request("charge", "gzip", "").replace("Content-Length: 0", "Transfer-Encoding: gzip");
+    assert_eq!(proxy.client().ask(&other).status(), 400);
+    assert_eq!(backend.rest(), 0);
+}
+
+#[test]
+fn the_forms_of_a_request_come_down_to_one() {
+    let discovery = Discovery::start();
+    let backend = Backend::start(|request| Reply::Write(answer("200 OK", "", &request.body)));
+    let proxy = proxy("forms", 192, &discovery, backend.address);
+    // Absolute form: a backend is no proxy and gets path and query.
+    let absolute = request("read", "1", "").replace("GET /read", "GET http://app.svc/read");
+    assert_eq!(proxy.client().ask(&absolute).status(), 200);
+    assert_eq!(backend.next().first_line(), "GET /read?key=7f3a HTTP/1.1");
+    // A client that waits for the word before it sends its body.
+    let mut client = proxy.client();
+    let waits = request("charge", "2", "hello").replace("Host:", "Expect: 100-continue\r\nHost:");
+    let (head, body) = waits.split_at(waits.len() - 5);
+    client.send(head);
+    assert_eq!(client.receive().first_line(), "HTTP/1.1 100 Continue");
+    assert_eq!(client.ask(body).body, b"hello");
+    assert!(backend.next().header("expect").is_none());
+    // HTTP/1.0: the connection ends behind the answer.
+    let old = request("read", "3", "").replace("HTTP/1.1", "HTTP/1.0");
+    let mut client = proxy.client();
+    assert_eq!(client.ask(&old).status(), 200);
+    assert!(client.ends_cleanly());
+    // Two requests at once are answered in turn.
+    let mut client = proxy.client();
+    client.send(&format!("{}{}", request("charge", "4", "first"), request("charge", "5", "second")));
+    assert_eq!((client.receive().body, client.receive().body), (b"first".to_vec(), b"second".to_vec()));
+    // Headers that speak of one connection end there.
+    let named = request("read", "6", "").replace("Host:", "Connection: X-Own\r\nX-Own: 1\r\nHost:");
+    assert_eq!(proxy.client().ask(&named).status(), 200);
+    let seen: Vec<_> = (0..4).map(|_| backend.next()).collect();
+    assert!(seen[3].header("x-own").is_none(), "{}", seen[3].head);
+    let head = request("read", "7", "").replace("GET", "HEAD");
+    let mut client = proxy.client();
+    client.send(&head);
+    let mut line = String::new();
+    client.reader.read_line(&mut line).expect("a head with no body");
+    assert!(line.starts_with("HTTP/1.1 405 "), "no class is asked so: {line}");
+}
+
+#[test]
+fn a_large_body_passes_kept_or_as_it_comes() {
+    let discovery = Discovery::start();
+    let backend = Backend::start(|request| {
+        let sum = request.body.iter().map(|&byte| u64::from(byte)).sum::<u64>();
+        ok(&format!("{} {sum}", request.body.len()))
+    });
+    // Two fifths of a fifth of 32 MB are kept of one body; what is larger passes through.
+    let proxy = proxy("large-body", 32, &discovery, backend.address);
+    for (id, size) in [70_000, MEGABYTE, 8 * MEGABYTE, 33_554_432].into_iter().enumerate() {
+        let body = pattern(size);
+        let wanted = format!("{size} {}", body.iter().map(|&byte| u64::from(byte)).sum::<u64>());
+        for is_chunked in [false, true] {
+            let id = format!("{id}-{is_chunked}");
+            let mut client = proxy.client();
+            if is_chunked {
+                client.send(&chunked_head("charge", &id));
+                let pieces: Vec<_> = body.chunks(60_000).collect();
+                client.stream.write_all(&chunked(&pieces, "", "")).expect("the proxy reads");
+            } else {
+                client.send(&request("charge", &id, "").replace("Length: 0", &format!("Length: {size}")));
+                client.stream.write_all(&body).expect("the proxy reads");
+            }
+            let got = client.receive();
+            assert_eq!(String::from_utf8_lossy(&got.body), wanted, "{}", got.head);
+        }
+    }
+    assert!(peak_memory(proxy.child.id()) < 24 * MEGABYTE, "{}", peak_memory(proxy.child.id()));
+}
+
+/// A body that is not kept can't be sent again; nothing of it has run, so that the client may.
+#[test]
+fn a_body_that_is_not_kept_goes_out_once() {
+    let discovery = Discovery::start();
+    let (told, seen) = channel();
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            // It reads a part, and breaks off.
+            let _ = (&stream).read_exact(&mut vec![0; 100_000]);
+            drop(stream);
+            let _ = told.send(());
+        }
+    });
+    let proxy = proxy("once", 16, &discovery, address);
+    let mut client = proxy.client();
+    client.send(&request("charge", "1", "").replace("Length: 0", &format!("Length: {}", 8 * MEGABYTE)));
+    let mut writer = client.stream.try_clone().expect("a clone");
+    let writing = thread::spawn(move || writer.write_all(&pattern(8 * MEGABYTE)).is_ok());
+    let got = client.receive();
+    assert_eq!(got.status(), 503, "{}", got.head);
+    seen.recv_timeout(PATIENCE).expect("one attempt");
+    drop(client);
+    let _ = writing.join();
+    assert!(seen.try_recv().is_err(), "there is no second one");
+}
+
+/// What the backend gives goes on at once; it is not waited for.
+#[test]
+fn the_first_bytes_of_a_large_answer_do_not_wait_for_the_last() {
+    for framing in ["Content-Length: 300000\r\n", "Transfer-Encoding: chunked\r\n", "Connection: close\r\n"] {
+        let discovery = Discovery::start();
+        let (go_on, word) = channel::<()>();
+        let word = std::sync::Arc::new(std::sync::Mutex::new(word));
+        let backend = by_hand(move |_, stream| {
+            let piece = |stream: &mut TcpStream, bytes: &[u8]| {
+                let bytes = if framing.starts_with('T') {
+                    let mut framed = format!("{:x}\r\n", bytes.len()).into_bytes();
+                    framed.extend_from_slice(bytes);
+                    framed.extend_from_slice(b"\r\n");
+                    framed
+                } else {
+                    bytes.to_vec()
+                };
+                stream.write_all(&bytes).expect("the proxy reads");
+            };
+            let body = pattern(300_000);
+            stream
+                .write_all(format!("HTTP/1.1 200 OK\r\n{framing}\r\n").as_bytes())
+                .expect("the proxy reads");
+            piece(stream, &body[..100_000]);
+            word.lock().expect("the word").recv_timeout(PATIENCE).expect("the client has the first bytes");
+            piece(stream, &body[100_000..]);
+            if framing.starts_with('T') {
+                stream.write_all(b"0\r\n\r\n").expect("the proxy reads");
+            }
+            if framing.ends_with("close\r\n") {
+                let _ = stream.shutdown(Shutdown::Both);
+            }
+        });
+        let proxy = proxy(&format!("at-once-{}", &framing[..2]), 192, &discovery, backend);
+        let mut client = proxy.client();
+        client.send(&request("read", "1", ""));
+        let mut got = Vec::new();
+        let mut piece = [0; 4_096];
+        while got.len() < 90_000 {
+            let read = client.reader.read(&mut piece).expect("bytes");
+            assert_ne!(read, 0);
+            got.extend_from_slice(&piece[..read]);
+        }
+        go_on.send(()).expect("the backend waits");
+        // The rest is whole: read behind the head by the framing that the proxy chose.
+        let head_end = got.windows(4).position(|w| w == b"\r\n\r\n").expect("a head") + 4;
+        let head = String::from_utf8_lossy(&got[..head_end]).into_owned();
+        assert!(head.starts_with("HTTP/1.1 200"), "{head}");
+        let seen = rig::read_message(&mut got.chain(&mut client.reader)).expect("a whole answer");
+        assert!(seen.body == pattern(300_000), "{head}");
+    }
+}
+
+/// An answer that breaks off once it is being passed on has failed: the client can tell, and nothing is sent again.
+#[test]
+fn a_large_answer_that_breaks_off_is_not_made_whole() {
+    for framing in ["Content-Length: 300000\r\n", "Transfer-Encoding: chunked\r\n"] {
+        let discovery = Discovery::start();
+        let (told, attempts) = channel();
+        let backend = by_hand(move |_, stream| {
+            let _ = told.send(());
+            let body = pattern(100_000);
+            let _ = stream.write_all(format!("HTTP/1.1 200 OK\r\n{framing}\r\n").as_bytes());
+            if framing.starts_with('T') {
+                let _ = stream.write_all(format!("{:x}\r\n", body.len()).as_bytes());
+            }
+            let _ = stream.write_all(&body);
+            let _ = stream.shutdown(Shutdown::Both);
+        });
+        let proxy = proxy(&format!("breaks-{}", &framing[..2]), 192, &discovery, backend);
+        let mut client = proxy.client();
+        client.send(&request("read", "1", ""));
+        let mut got = Vec::new();
+        let _ = client.reader.read_to_end(&mut got);
+        assert!(got.starts_with(b"HTTP/1.1 200"));
+        assert!(got.len() < 200_000 && !got.ends_with(b"0\r\n\r\n"), "{} bytes", got.len());
+        attempts.recv_timeout(PATIENCE).expect("one attempt");
+        assert!(attempts.try_recv().is_err(), "there is no second one");
+    }
+}
+
+/// Many large answers at once to clients that read slowly: each holds what is on its way and no more.
+#[test]
+fn many_large_answers_to_slow_readers_stay_within_the_memory() {
+    const READERS: usize = 40;
+    const SIZE: usize = 32 * MEGABYTE;
+    let discovery = Discovery::start();
+    let backend = by_hand(|_, stream| {
+        let piece = pattern(MEGABYTE);
+        let _ = stream.write_all(format!("HTTP/1.1 200 OK\r\nContent-Length: {SIZE}\r\n\r\n").as_bytes());
+        while stream.write_all(&piece).is_ok() && stream.peer_addr().is_ok() {}
+    });
+    let proxy = proxy("slow-readers", 32, &discovery, backend);
+    let (begun, all_begun): (Sender<()>, Receiver<()>) = channel();
+    let readers: Vec<_> = (0..READERS)
+        .map(|id| {
+            let (begun, address) = (begun.clone(), proxy.address);
+            let (go_on, word) = channel::<()>();
+            let reader = thread::spawn(move || {
+                // The module may have no room for all of them at once: refused ones come again.
+                loop {
+                    let mut client = Client::connect(address);
+                    client.send(&request("read", &format!("{id}-{:?}", client.stream.local_addr()), ""));
+                    let mut first = [0; 12];
+                    client.reader.read_exact(&mut first).expect("a status");
+                    if &first == b"HTTP/1.1 200" {
+                        begun.send(()).expect("the test waits");
+                        let _ = word.recv_timeout(PATIENCE);
+                        let mut read = 0;
+                        let mut piece = vec![0; 64 * 1024];
+                        while read < SIZE {
+                            match client.reader.read(&mut piece).expect("bytes") {
+                                0 => break,
+                                n => read += n,
+                            }
+                        }
+                        return read;
+                    }
+                }
+            });
+            (go_on, reader)
+        })
+        .collect();
+    for _ in 0..READERS {
+        all_begun.recv_timeout(PATIENCE).expect("every reader has begun");
+    }
+    let held = peak_memory(proxy.child.id());
+    assert!(held < 16 * MEGABYTE, "{held} bytes for {READERS} answers of {SIZE}");
+    // Some go on to the end, the others leave.
+    for (number, (go_on, reader)) in readers.into_iter().enumerate() {
+        if number < 4 {
+            go_on.send(()).expect("the reader waits");
+            assert!(reader.join().expect("a reader") >= SIZE);
+        }
+    }
+    let held = peak_memory(proxy.child.id());
+    assert!(held < 16 * MEGABYTE, "{held} bytes");
+}
--- a/crates/program/tests/proxy/rig.rs
+++ b/crates/program/tests/proxy/rig.rs
@@ -48,6 +48,20 @@
         }
     }
     let mut seen = Seen { head, body: Vec::new(), connection: 0 };
+    if seen.header("transfer-encoding").is_some() {
+        loop {
+            let mut line = String::new();
+            reader.read_line(&mut line).ok()?;
+            let size = usize::from_str_radix(line.trim(), 16).expect("a chunk's size");
+            let began = seen.body.len();
+            seen.body.resize(began + size, 0);
+            reader.read_exact(&mut seen.body[began..]).ok()?;
+            reader.read_line(&mut line).ok()?;
+            if size == 0 {
+                return Some(seen);
+            }
+        }
+    }
     let length = seen.header("content-length").map_or(0, |l| l.parse().expect("a length"));
     seen.body.resize(length, 0);
     reader.read_exact(&mut seen.body).ok()?;
--- a/crates/proxy/src/backends.rs
+++ b/crates/proxy/src/backends.rs
@@ -3,30 +3,23 @@
 //! A request is written to a connection once and never again by this side: whether it may be repeated is the
 //! module's to say, and it can only say so if it knows whether the last byte went out (`Wire` counts).
 
-use crate::bounds::{ANSWER_CAP, ANSWER_HEAD_CAP, BODY_CAP};
+use crate::body::{AtEnd, Content, Outgoing, Passing};
+use crate::bounds::ANSWER_HEAD_CAP;
+use crate::exchange::{Answered, Broken, Call, Payload, Reply, Served, exchange, least_size, request};
+use crate::pace;
+use crate::wire::{Wire, WireIo};
 use bytes::Bytes;
 use haventrack_decision::api::{Backend, BackendId, Micros, Outcome, Readiness};
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
-use hyper::header::{
-    CONTENT_LENGTH, CONTENT_TYPE, HOST, HeaderMap, HeaderName, HeaderValue, TRANSFER_ENCODING,
-};
-use hyper::{Method, Request, Response, StatusCode, Uri};
+use hyper::header::{CONTENT_TYPE, HeaderMap, HeaderName};
+use hyper::{Method, StatusCode, Uri};
 use hyper_util::rt::TokioIo;
 use rustc_hash::FxHashMap;
 use std::cell::{Cell, RefCell};
-use std::error::Error;
 use std::io;
-use std::mem::MaybeUninit;
 use std::net::SocketAddr;
-use std::pin::Pin;
 use std::rc::Rc;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
-use std::task::{Context, Poll, ready};
 use std::time::Duration;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::oneshot;
 use tokio::task::JoinHandle;
@@ -42,7 +35,8 @@
 /// After how long a backend's close behind its answer has been heard of: a round trip within a region, and time for
 /// its machine to get to it.
 const SETTLED: Duration = Duration::from_millis(5);
-const TIME_LEFT: HeaderName = HeaderName::from_static("x-time-left-ms");
+/// How often a body that is passed on is looked at.
+const LOOK_EVERY: Duration = Duration::from_millis(20);
 const UNPROCESSED: HeaderName = HeaderName::from_static("x-unprocessed");
 const LOAD: HeaderName = HeaderName::from_static("x-backend-load");
 
@@ -55,94 +49,9 @@
     pub address: SocketAddr,
 }
 
-/// What goes to a backend, the same at every attempt.
-#[derive(Debug)]
-pub struct Call {
-    /// The client's method.
-    pub method: Method,
-    /// Path and query, unchanged.
-    pub target: Uri,
-    /// The client's headers that pass through a proxy.
-    pub headers: HeaderMap,
-    /// The body, unchanged.
-    pub body: Bytes,
-}
-
-/// A backend's 200 answer.
-#[derive(Debug)]
-pub struct Served {
-    /// Its body, unchanged.
-    pub body: Bytes,
-    /// What the body is.
-    pub content_type: Option<HeaderValue>,
-}
-
 /// How an attempt or a probe ended.
 type Ended = haventrack_engine::engine::Ended<Served>;
 
-/// A connection's socket, with a count of the bytes that it took.
-///
-/// The socket is read and written through its own implementation: it knows that a read which did not fill the buffer
-/// has emptied the kernel's, so that no second call is made only to be told so, and clears no buffer beforehand.
-struct Wire {
-    stream: RefCell<TcpStream>,
-    written: Cell<u64>,
-}
-
-impl Wire {
-    /// Whether nothing has come in since the last answer: neither the backend's goodbye nor stray bytes. The
-    /// runtime may not have seen yet what the kernel knows already, so the socket itself is asked.
-    fn is_quiet(&self) -> bool {
-        let mut byte = [MaybeUninit::uninit()];
-        let peeked = socket2::SockRef::from(&*self.stream.borrow()).peek(&mut byte);
-        peeked.is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
-    }
-
-    fn poll_counted(
-        &self,
-        poll: impl FnOnce(Pin<&mut TcpStream>) -> Poll<io::Result<usize>>,
-    ) -> Poll<io::Result<usize>> {
-        let written = ready!(poll(Pin::new(&mut *self.stream.borrow_mut())))?;
-        self.written.set(self.written.get() + written as u64);
-        Poll::Ready(Ok(written))
-    }
-}
-
-/// The half of a [`Wire`] that the HTTP side drives.
-struct WireIo(Rc<Wire>);
-
-impl AsyncRead for WireIo {
-    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut *self.0.stream.borrow_mut()).poll_read(cx, buf)
-    }
-}
-
-impl AsyncWrite for WireIo {
-    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        self.0.poll_counted(|stream| stream.poll_write(cx, buf))
-    }
-
-    fn poll_write_vectored(
-        self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        bufs: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        self.0.poll_counted(|stream| stream.poll_write_vectored(cx, bufs))
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        true
-    }
-
-    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(Ok(()))
-    }
-
-    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut *self.0.stream.borrow_mut()).poll_shutdown(cx)
-    }
-}
-
 /// Counts an open socket until it is dropped.
 struct Counted(Rc<Cell<usize>>);
 
@@ -159,49 +68,9 @@
     }
 }
 
-/// What large answers may hold at a time, until their last byte has gone to the client. Bodies within the
-/// protocol's cap are bounded by the connections.
-#[derive(Clone)]
-struct Large(Arc<AtomicUsize>);
-
-impl Large {
-    fn new(bytes: usize) -> Self {
-        Self(Arc::new(AtomicUsize::new(bytes)))
-    }
-
-    fn reserve(&self, bytes: usize) -> Option<Reserved> {
-        let left = self.0.load(Ordering::Relaxed).checked_sub(bytes)?;
-        self.0.store(left, Ordering::Relaxed);
-        Some(Reserved { bytes, of: self.clone() })
-    }
-}
-
-struct Reserved {
-    bytes: usize,
-    of: Large,
-}
-
-impl Drop for Reserved {
-    fn drop(&mut self) {
-        self.of.0.fetch_add(self.bytes, Ordering::Relaxed);
-    }
-}
-
-/// An answer's body, with what is reserved for it as long as anybody holds it.
-struct Held {
-    body: Bytes,
-    _reserved: Reserved,
-}
-
-impl AsRef<[u8]> for Held {
-    fn as_ref(&self) -> &[u8] {
-        &self.body
-    }
-}
-
 /// One connection to a backend. Dropping it closes it, whatever is out on it.
 struct Conn {
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<Outgoing>,
     wire: Rc<Wire>,
     task: JoinHandle<()>,
     /// The life of the backend that it belongs to.
@@ -251,19 +120,17 @@
     servers: RefCell<FxHashMap<BackendId, Rc<Server>>>,
     sockets: Rc<Cell<usize>>,
     most_sockets: Cell<usize>,
-    large: Large,
     dial_timeout: Duration,
     idle_limit: Duration,
     report_fields: Vec<String>,
 }
 
 impl Fleet {
-    /// An empty fleet. `large_answers` is how many bytes answers beyond the usual size may hold at a time, `conn_idle` how long backends keep an idle connection, `report_fields` the fields of
-    /// a load report in the order that the module knows.
+    /// An empty fleet. `conn_idle` is how long backends keep an idle connection, `report_fields` are the fields of a load
+    /// report in the order that the module knows.
     #[must_use]
     pub fn new(
         most_sockets: usize,
-        large_answers: usize,
         dial_timeout: Micros,
         conn_idle: Micros,
         report_fields: Vec<String>,
@@ -273,7 +140,6 @@
             servers: RefCell::default(),
             sockets: Rc::default(),
             most_sockets: Cell::new(most_sockets),
-            large: Large::new(large_answers),
             dial_timeout: Duration::from_micros(dial_timeout),
             idle_limit: idle.saturating_sub(IDLE_MARGIN).max(idle / 2),
             report_fields,
@@ -392,7 +258,7 @@
         let connecting = timeout_at(until, TcpStream::connect(server.address.get())).await;
         let stream = connecting.map_err(|_| NoConn::Backends)??;
         stream.set_nodelay(true)?;
-        let wire = Rc::new(Wire { stream: RefCell::new(stream), written: Cell::new(0) });
+        let wire = Wire::new(stream);
         let io = TokioIo::new(WireIo(Rc::clone(&wire)));
         let handshake = http1::Builder::new().max_buf_size(ANSWER_HEAD_CAP).handshake(io).await;
         let (sender, connection) = handshake.map_err(|_| NoConn::Backends)?;
@@ -440,39 +306,46 @@
         if !server.ready.get() || conn.life != server.life.get() {
             return Outcome::Moot.into();
         }
-        let left = give_up.saturating_duration_since(Instant::now());
-        if left < Duration::from_millis(1) {
+        let began = Instant::now();
+        let left = give_up.saturating_duration_since(began).min(call.patience);
+        if left < Duration::from_millis(1) || call.body.is_spent() {
             self.keep(&server, conn);
             return Outcome::Moot.into();
         }
-        let request = request(&call, &server, left);
-        let whole = conn.wire.written.get() + least_size(&request, call.body.len());
+        let request = request(&call, server.address.get(), left);
+        let before = conn.wire.written() + least_size(&request);
         let exchanged = tokio::select! {
             biased;
-            exchanged = exchange(&mut conn.sender, request, &self.large) => exchanged,
+            exchanged = exchange(&mut conn.sender, request) => exchanged,
             Ok(()) = &mut cancel => Err(Broken::Cancelled),
-            () = sleep_until(give_up) => Err(Broken::TimedOut),
+            () = time_over(&call, give_up) => Err(Broken::TimedOut),
         };
         // Rule 2: what the socket did not take whole can't run; of anything else nothing is certain. Reading
         // the count and dropping the connection happen in one step, so nothing more is written in between.
-        let all_written = conn.wire.written.get() >= whole;
-        match exchanged {
-            Ok(reply) => {
-                self.keep(&server, conn);
-                self.ended(reply)
-            }
-            Err(Broken::NoMemory) => Outcome::Cancelled.into(),
+        let all_written = call.body.written().is_some_and(|body| conn.wire.written() >= before + body);
+        let mut ended = match exchanged {
+            Ok(reply) => self.ended(reply, server, conn),
             // Also ahead of the whole request: nobody knows what an early answer means.
             Err(Broken::Spoilt) => Outcome::Spoilt.into(),
             Err(Broken::Cancelled) if all_written => Outcome::Cancelled.into(),
-            Err(Broken::Cancelled) => Outcome::Moot.into(),
             Err(Broken::TimedOut) if all_written => Outcome::Timeout.into(),
             Err(Broken::Connection) if all_written => Outcome::Reset.into(),
+            Err(Broken::Cancelled) => Outcome::Moot.into(),
+            // The client broke it off, or was too slow: that says nothing of the backend.
+            Err(_) if matches!(&call.body, Payload::Passed(upload) if upload.has_failed() || upload.ended().is_none()) => {
+                Outcome::Moot.into()
+            }
             Err(_) => Outcome::ConnectFailed.into(),
+        };
+        if let Payload::Passed(upload) = &call.body {
+            let waited = upload.ended().unwrap_or_else(Instant::now).saturating_duration_since(began);
+            ended.waited = u64::try_from(waited.as_micros()).unwrap_or(u64::MAX);
         }
+        ended
     }
 
-    fn ended(&self, reply: Reply) -> Ended {
+    /// What an answer means, and what becomes of its connection.
+    fn ended(self: &Rc<Self>, reply: Reply, server: Rc<Server>, conn: Conn) -> Ended {
         let outcome = match reply.status {
             StatusCode::OK => Outcome::Ok,
             StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT
@@ -483,9 +356,22 @@
             _ => Outcome::Error,
         };
         let report = reply.headers.get(LOAD).and_then(|v| v.to_str().ok()).map(|text| self.report(text));
-        let served = (outcome == Outcome::Ok)
-            .then(|| Served { body: reply.body, content_type: reply.headers.get(CONTENT_TYPE).cloned() });
-        Ended { outcome, payload: served, report: report.unwrap_or_default() }
+        let body = match reply.body {
+            Answered::Whole(bytes) => {
+                self.keep(&server, conn);
+                Some(Content::whole(bytes))
+            }
+            // The rest of an answer that nobody gets is not worth reading: its connection closes.
+            Answered::Begun(..) if outcome != Outcome::Ok => None,
+            Answered::Begun(first, rest, length) => {
+                let fleet = Rc::clone(self);
+                let at_end: AtEnd = Box::new(move || fleet.keep(&server, conn));
+                Some(Content::Passed(Box::new(Passing::new(first, rest, length, at_end))))
+            }
+        };
+        let content_type = reply.headers.get(CONTENT_TYPE).cloned();
+        let payload = body.filter(|_| outcome == Outcome::Ok).map(|body| Served { body, content_type });
+        Ended { outcome, payload, report: report.unwrap_or_default(), waited: 0 }
     }
 
     /// A load report (`name=value,...`) in the settings' order; what it leaves out is not a number.
@@ -510,16 +396,20 @@
             Err(no_conn) => return no_conn.outcome().into(),
         };
         let target = Uri::from_static(if deep { "/metrics/load" } else { "/alive" });
-        let call = Call { method: Method::GET, target, headers: HeaderMap::new(), body: Bytes::new() };
-        let request = request(&call, &server, PROBE_TIMEOUT);
-        match timeout_at(until, exchange(&mut conn.sender, request, &self.large)).await {
+        let body = Payload::Whole(Bytes::new());
+        let headers = HeaderMap::new();
+        let call = Call { method: Method::GET, target, headers, body, patience: PROBE_TIMEOUT };
+        let request = request(&call, server.address.get(), PROBE_TIMEOUT);
+        match timeout_at(until, exchange(&mut conn.sender, request)).await {
             Err(_) => Outcome::Timeout.into(),
             Ok(Err(Broken::Spoilt)) => Outcome::Spoilt.into(),
             Ok(Err(_)) => Outcome::Reset.into(),
             Ok(Ok(reply)) => {
-                self.keep(&server, conn);
-                let body = String::from_utf8_lossy(&reply.body).into_owned();
-                let mut ended = self.ended(reply);
+                let body = match &reply.body {
+                    Answered::Whole(bytes) => String::from_utf8_lossy(bytes).into_owned(),
+                    Answered::Begun(..) => String::new(),
+                };
+                let mut ended = self.ended(reply, server, conn);
                 ended.payload = None;
                 if deep && ended.outcome == Outcome::Ok && ended.report.is_empty() && !body.is_empty() {
                     ended.report = self.report(body.trim());
@@ -530,6 +420,23 @@
     }
 }
 
+/// Waits until the time of an attempt is over. That of a request whose body is passed on as it comes counts from the
+/// body's last byte; until then its client has to keep a pace.
+async fn time_over(call: &Call, give_up: Instant) {
+    let Payload::Passed(upload) = &call.body else { return sleep_until(give_up).await };
+    let began = Instant::now();
+    let ended = loop {
+        if let Some(ended) = upload.ended() {
+            break ended;
+        }
+        if Instant::now() > began + pace::time_for(upload.passed()) {
+            return;
+        }
+        sleep(LOOK_EVERY).await;
+    };
+    sleep_until(ended + call.patience).await;
+}
+
 /// Which of the free connections is taken, from their rests, the longest first: the one that was used last, so that
 /// the others may grow old and be closed. But a backend that closes behind its answer is heard of a moment later
 /// only, and a request written meanwhile is lost: one that answered just now is taken where all have.
@@ -566,100 +473,6 @@
     }
 }
 
-struct Reply {
-    status: StatusCode,
-    headers: HeaderMap,
-    body: Bytes,
-}
-
-/// Why an exchange gave no answer.
-enum Broken {
-    Connection,
-    /// What came can't be, or become, the answer.
-    Spoilt,
-    /// This proxy has no memory left for it.
-    NoMemory,
-    TimedOut,
-    Cancelled,
-}
-
-impl From<&hyper::Error> for Broken {
-    fn from(error: &hyper::Error) -> Self {
-        // A chunked body that can't be read shows only in the kind of the cause.
-        let cause = error.source().and_then(|cause| cause.downcast_ref::<io::Error>()).map(io::Error::kind);
-        let unreadable = matches!(cause, Some(io::ErrorKind::InvalidInput | io::ErrorKind::InvalidData));
-        if error.is_parse() || unreadable { Self::Spoilt } else { Self::Connection }
-    }
-}
-
-/// Writes a request and reads the whole answer, so that a body that breaks off never becomes an answer.
-async fn exchange(
-    sender: &mut SendRequest<Full<Bytes>>,
-    request: Request<Full<Bytes>>,
-    large: &Large,
-) -> Result<Reply, Broken> {
-    let response = sender.send_request(request).await.map_err(|error| Broken::from(&error))?;
-    if !can_become_whole(&response) {
-        return Err(Broken::Spoilt);
-    }
-    let (head, body) = response.into_parts();
-    let size =
-        body.size_hint().exact().map_or(ANSWER_CAP, |exact| usize::try_from(exact).unwrap_or(ANSWER_CAP));
-    let reserved = match size {
-        ..=BODY_CAP => None,
-        _ => Some(large.reserve(size).ok_or(Broken::NoMemory)?),
-    };
-    let body = Limited::new(body, ANSWER_CAP).collect().await.map_err(|error| {
-        let spoilt = error.is::<LengthLimitError>();
-        error
-            .downcast_ref::<hyper::Error>()
-            .map_or(if spoilt { Broken::Spoilt } else { Broken::Connection }, Broken::from)
-    })?;
-    let body = body.to_bytes();
-    let body = match reserved {
-        Some(reserved) => Bytes::from_owner(Held { body, _reserved: reserved }),
-        None => body,
-    };
-    Ok(Reply { status: head.status, headers: head.headers, body })
-}
-
-/// Whether the head leaves hope for a good answer. Where it does not, failing at once leaves time for another
-/// attempt: the rest of an answer of gigabytes would be read for nothing, and one that only the end of its
-/// connection ends could not be told from one that broke off.
-fn can_become_whole(response: &Response<Incoming>) -> bool {
-    let length = response.body().size_hint();
-    let ends = length.exact().is_some() || response.headers().contains_key(TRANSFER_ENCODING);
-    ends && length.lower() <= ANSWER_CAP as u64 && response.status() != StatusCode::SWITCHING_PROTOCOLS
-}
-
-fn request(call: &Call, server: &Server, left: Duration) -> Request<Full<Bytes>> {
-    let mut request = Request::new(Full::new(call.body.clone()));
-    *request.method_mut() = call.method.clone();
-    *request.uri_mut() = call.target.clone();
-    let headers = request.headers_mut();
-    headers.clone_from(&call.headers);
-    let millis = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
-    headers.insert(TIME_LEFT, HeaderValue::from(millis));
-    if call.method != Method::GET {
-        headers.insert(CONTENT_LENGTH, HeaderValue::from(call.body.len()));
-    }
-    if !headers.contains_key(HOST)
-        && let Ok(host) = HeaderValue::try_from(server.address.get().to_string())
-    {
-        headers.insert(HOST, host);
-    }
-    request
-}
-
-/// The bytes that a request takes on the wire at the least. Fewer written: the backend can't have begun it.
-fn least_size(request: &Request<Full<Bytes>>, body: usize) -> u64 {
-    let target = request.uri().path_and_query().map_or(1, |t| t.as_str().len());
-    let line = request.method().as_str().len() + " ".len() + target + " HTTP/1.1\r\n".len();
-    let fields =
-        request.headers().iter().map(|(name, value)| name.as_str().len() + value.len() + ": \r\n".len());
-    (line + fields.sum::<usize>() + "\r\n".len() + body) as u64
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -676,7 +489,7 @@
 
     #[test]
     fn backends_that_are_gone_are_forgotten() {
-        let fleet = Fleet::new(10, 1, 1, 1, Vec::new());
+        let fleet = Fleet::new(10, 1, 1, Vec::new());
         let address = SocketAddr::from(([127, 0, 0, 1], 9));
         for id in 0..100 {
             fleet.update(id, address, Readiness::Ready, None);
--- a/crates/proxy/src/bounds.rs
+++ b/crates/proxy/src/bounds.rs
@@ -1,9 +1,10 @@
 //! What a message may hold at the most.
 
-/// The largest body of a request, and of an answer as the protocol has it, in bytes.
+/// The largest body that is kept whole for any request or answer, in bytes; larger ones are passed on as they come.
 pub const BODY_CAP: usize = 64 * 1024;
-/// The largest answer that is passed on, in bytes. Backends were seen to send good ones of 400 KB.
-pub const ANSWER_CAP: usize = 1024 * 1024;
+/// The largest body that passes in either direction, in bytes. Those of 32 MB are usual for peers that send large ones;
+/// beyond half as much again something is wrong.
+pub const BODY_MOST: u64 = 48 << 20;
 /// The largest head of a request, in bytes.
 pub const REQUEST_HEAD_CAP: usize = 16 * 1024;
 /// The largest head of an answer, and what a connection reads ahead, in bytes: one that does not end must not take
--- a/crates/proxy/src/carrier.rs
+++ b/crates/proxy/src/carrier.rs
@@ -1,6 +1,7 @@
 //! Carries the engine's commands out over connections to backends.
 
-use crate::backends::{Call, Fleet, Listed, Served};
+use crate::backends::{Fleet, Listed};
+use crate::exchange::{Call, Payload, Served};
 use crate::log::log;
 use haventrack_decision::api::{Backend, BackendId, Membership, Outcome};
 use haventrack_engine::engine::{Ended, Exchange, Grant, Verdict};
@@ -36,6 +37,10 @@
     type Work = Rc<Call>;
     type Reply = Reply;
     type Payload = Served;
+
+    fn goes_once(work: &Rc<Call>) -> bool {
+        matches!(work.body, Payload::Passed(_))
+    }
 }
 
 /// The way to the engine.
--- a/crates/proxy/src/claim.rs
+++ b/crates/proxy/src/claim.rs
@@ -1,6 +1,6 @@
 //! Rule 2 across fronts: a client's request that callers outside might ask for too is held in the table they share.
 
-use crate::backends::Served;
+use crate::exchange::Served;
 use haventrack_decision::api::{Class, Effect, Micros};
 use haventrack_engine::claims::{self, ClaimError, ClaimId, Claimed, End, Front, Remembered, Shared};
 use haventrack_engine::engine::Verdict;
--- a/crates/proxy/src/clients.rs
+++ b/crates/proxy/src/clients.rs
@@ -1,29 +1,33 @@
 //! The clients' side: the listener, requests in, answers out.
 
-use crate::backends::Call;
-use crate::bounds::{BODY_CAP, REQUEST_HEAD_CAP};
+use crate::body::{Content, Large, Reserved, Tracked, Upload, exact_size, next_piece};
+use crate::bounds::{BODY_CAP, BODY_MOST, REQUEST_HEAD_CAP};
 use crate::carrier::{Handle, Reply};
 use crate::claim::{Claim, Taken, Terms};
+use crate::exchange::{Call, Payload, join};
+use crate::lane::{Doing, Lane, LaneIo, is_quiet};
 use crate::log::log;
 use crate::names::Names;
+use crate::pace;
 use bytes::Bytes;
 use haventrack_decision::api::{Effect, Micros, RequestId, Settings};
 use haventrack_engine::claims;
-use haventrack_engine::engine::{Arrival, Conduct, Overload, Verdict};
+use haventrack_engine::engine::{ANSWER_MARGIN, Arrival, Conduct, Overload, Verdict};
 use haventrack_engine::shell::clock::Clock;
 use haventrack_engine::subject::about;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Method, Request, Response, StatusCode};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper::{Method, Request, Response, StatusCode, Uri};
+use hyper_util::rt::TokioIo;
 use rustc_hash::{FxHashMap, FxHashSet};
+use slab::Slab;
 use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
 use std::convert::Infallible;
 use std::future::Future;
-use std::pin::{Pin, pin};
+use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -31,18 +35,17 @@
 use tokio::sync::{Notify, oneshot, watch};
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 
-/// How long a client may take for a request, its body too. For the first one on a connection this counts from
-/// connecting, for a later one's head from the last answer, so it is also how long a client may stay idle: silence
-/// and endless requests hold a descriptor no longer.
-const REQUEST_TIME: Duration = Duration::from_millis(2_500);
-/// A body has this long at the least, however late its head came.
-const BODY_LEAST: Duration = Duration::from_millis(300);
 /// How long a closing connection is read on, and how much of it, so that the kernel does not answer late
 /// bytes with a reset that destroys an answer on its way.
 const LINGER: Duration = Duration::from_millis(500);
 const LINGER_BYTES: usize = 4 * BODY_CAP;
-/// At the cap, one in this many connections is asked to close.
-const SHED_PART: usize = 8;
+/// How often a connection is looked at: whether its time is over, and, while the proxy ends, whether it can close.
+const LOOK_EVERY: Duration = Duration::from_millis(250);
+const LOOK_AT_END: Duration = Duration::from_millis(25);
+/// How long the one that was asked to make room may take before the next is asked.
+const WAY: Duration = Duration::from_millis(5);
+/// The part of what large bodies may hold that a single one may.
+const OF_LARGE: usize = 4;
 /// When a client that met a bound of this proxy may try again, microseconds.
 const OVERLOAD_RETRY: Micros = 1_000_000;
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
@@ -87,10 +90,11 @@
     most: Cell<usize>,
     open: Cell<usize>,
     freed: Notify,
-    /// Asks the connection that has been open longest to close once it is idle.
-    shed: Notify,
-    /// Those that were asked and are not closed yet.
-    shedding: Cell<usize>,
+    /// Those that are open.
+    lanes: RefCell<Slab<Rc<Lane>>>,
+    /// What large bodies may hold, and how much of it a single one may.
+    large: Large,
+    large_most: usize,
     accepted_at: Cell<Instant>,
     /// The ids of the requests that have no answer yet.
     ids: RefCell<FxHashSet<HeaderValue>>,
@@ -107,7 +111,8 @@
 
 impl Clients {
     /// No connections yet. `held` tells whether a list of backends is held, `most` how many connections may be
-    /// open at a time; `claims` are those that callers outside share.
+    /// open at a time, `large_bodies` how many bytes of large bodies may be kept; `claims` are those that callers outside
+    /// share.
     #[must_use]
     #[allow(clippy::too_many_arguments)]
     pub fn new(
@@ -118,6 +123,7 @@
         held: Rc<Cell<bool>>,
         phase: watch::Receiver<Phase>,
         most: usize,
+        large_bodies: usize,
         claims: Option<claims::Shared>,
     ) -> Rc<Self> {
         let class = |c: &haventrack_decision::api::Class| Class {
@@ -136,8 +142,9 @@
             most: Cell::new(most),
             open: Cell::new(0),
             freed: Notify::new(),
-            shed: Notify::new(),
-            shedding: Cell::new(0),
+            lanes: RefCell::default(),
+            large: Large::new(large_bodies),
+            large_most: large_bodies / OF_LARGE,
             accepted_at: Cell::new(Instant::now()),
             ids: RefCell::default(),
             claims,
@@ -171,13 +178,11 @@
     /// Accepts connections for as long as the proxy runs.
     pub async fn accept(self: Rc<Self>, listener: Rc<TcpListener>) {
         loop {
-            // Beyond the cap clients wait in the kernel's queue instead of taking the backends' descriptors.
-            // Connections that clients keep without using them would hold those up for long: some are closed.
+            // Beyond the cap clients wait in the kernel's queue instead of taking the backends' descriptors. Those
+            // that say nothing would hold those up for long: they make room.
             while self.open.get() >= self.most.get() {
-                if self.shedding.get() == 0 {
-                    (0..=self.most.get() / SHED_PART).for_each(|_| self.shed.notify_one());
-                }
-                self.freed.notified().await;
+                self.ask_for_way();
+                let _ = timeout(WAY, self.freed.notified()).await;
             }
             match listener.accept().await {
                 Ok((stream, _)) => {
@@ -194,56 +199,76 @@
         }
     }
 
+    /// Asks the connection that can best be spared to close.
+    fn ask_for_way(&self) {
+        let now = Instant::now();
+        let lanes = self.lanes.borrow();
+        let spare = lanes.iter().filter_map(|(_, lane)| Some((lane.gives_way(now)?, lane)));
+        if let Some((_, lane)) = spare.min_by_key(|(turn, _)| *turn) {
+            lane.closes.notify_one();
+        }
+    }
+
     async fn connection(self: Rc<Self>, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
-        let clients = Rc::clone(&self);
-        let connected = Cell::new(Some(Instant::now()));
+        let lane = Lane::new(Instant::now());
+        let place = self.lanes.borrow_mut().insert(Rc::clone(&lane));
+        let stream = Rc::new(RefCell::new(stream));
+        let read_on = self.converse(&stream, &lane).await;
+        if let Some(stream) = Rc::into_inner(stream)
+            && read_on
+        {
+            linger(stream.into_inner()).await;
+        }
+        self.lanes.borrow_mut().remove(place);
+        self.open.set(self.open.get() - 1);
+        self.freed.notify_waiters();
+    }
+
+    /// Answers the requests of a connection, one after another. Whether what still comes has to be read: an answer, or
+    /// a part of one, may be on its way.
+    async fn converse(self: &Rc<Self>, stream: &Rc<RefCell<TcpStream>>, lane: &Rc<Lane>) -> bool {
+        let (clients, own) = (Rc::clone(self), Rc::clone(lane));
         let service = service_fn(move |request| -> Pin<Box<dyn Future<Output = _>>> {
-            let (clients, now) = (Rc::clone(&clients), Instant::now());
-            let late = (connected.take().unwrap_or(now) + REQUEST_TIME).max(now + BODY_LEAST);
-            Box::pin(async move { Ok::<_, Infallible>(clients.respond(request, late).await) })
+            let (clients, lane) = (Rc::clone(&clients), Rc::clone(&own));
+            lane.asks(Instant::now());
+            Box::pin(async move {
+                let response = clients.respond(request, &lane).await;
+                Ok::<_, Infallible>(response.map(|content| Tracked::new(content, lane)))
+            })
         });
-        let mut conn = http1::Builder::new()
-            .timer(TokioTimer::new())
-            .header_read_timeout(REQUEST_TIME)
-            .max_buf_size(REQUEST_HEAD_CAP)
-            .serve_connection(TokioIo::new(stream), service);
+        let io = TokioIo::new(LaneIo::new(Rc::clone(stream), Rc::clone(lane)));
+        let mut conn = http1::Builder::new().max_buf_size(REQUEST_HEAD_CAP).serve_connection(io, service);
         let mut phase = self.phase.clone();
-        // A connection that comes while the others are being closed still gets its answer; that closes it.
-        let mut told = *phase.borrow_and_update() == Phase::Closing;
-        let mut shed = pin!(self.shed.notified());
-        let mut is_shed = false;
         loop {
+            let closing = *phase.borrow_and_update() == Phase::Closing;
+            // Bytes that wait unread are a request that would be lost by a close.
+            let can_close = || lane.is_at_rest() && is_quiet(&stream.borrow());
             tokio::select! {
                 biased;
                 // How it ended does not matter here: a client that left has been reported by its guard.
-                _ = std::future::poll_fn(|cx| conn.poll_without_shutdown(cx)) => break,
-                Ok(()) = phase.changed(), if !told => {
-                    if *phase.borrow_and_update() == Phase::Closing {
-                        told = true;
-                        Pin::new(&mut conn).graceful_shutdown();
+                _ = std::future::poll_fn(|cx| conn.poll_without_shutdown(cx)) => return true,
+                Ok(()) = phase.changed() => {}
+                () = lane.closes.notified() => {
+                    let spared = lane.doing() == Doing::Heading || can_close();
+                    if spared && lane.doing() != Doing::Asking {
+                        return false;
                     }
                 }
-                () = &mut shed, if !told => {
-                    (told, is_shed) = (true, true);
-                    self.shedding.set(self.shedding.get() + 1);
-                    Pin::new(&mut conn).graceful_shutdown();
+                () = sleep(if closing { LOOK_AT_END } else { LOOK_EVERY }) => {
+                    if lane.is_over(Instant::now()) || (closing && can_close()) {
+                        return true;
+                    }
                 }
             }
         }
-        linger(conn.into_parts().io.into_inner()).await;
-        self.shedding.set(self.shedding.get() - usize::from(is_shed));
-        self.open.set(self.open.get() - 1);
-        self.freed.notify_waiters();
     }
 
-    /// Answers a request whose body has to be here by `late`.
-    async fn respond(&self, request: Request<Incoming>, late: Instant) -> Response<Full<Bytes>> {
-        let arrived = self.clock.now();
+    async fn respond(&self, request: Request<Incoming>, lane: &Lane) -> Response<Content> {
         let mut response = if request.uri().path() == "/up" {
             self.up()
         } else {
-            let answered = match self.inbound(request, arrived, late).await {
+            let answered = match self.inbound(request, lane).await {
                 Ok((arrival, id)) => self.ask(arrival, id).await,
                 Err(rejected) => Err(rejected),
             };
@@ -264,7 +289,7 @@
         response
     }
 
-    fn up(&self) -> Response<Full<Bytes>> {
+    fn up(&self) -> Response<Content> {
         if self.held.get() && *self.phase.borrow() == Phase::Running {
             plain(StatusCode::OK, "up\n")
         } else {
@@ -272,11 +297,7 @@
         }
     }
 
-    async fn ask(
-        &self,
-        arrival: Arrival<Rc<Call>>,
-        id: HeaderValue,
-    ) -> Result<Response<Full<Bytes>>, Rejected> {
+    async fn ask(&self, arrival: Arrival<Rc<Call>>, id: HeaderValue) -> Result<Response<Content>, Rejected> {
         // Rule 2: passed on, a second request of the same id would be a second copy of the first.
         let Some(open) = OpenId::claim(&self.ids, id) else {
             return Err(Rejected(StatusCode::CONFLICT, "a request of this id is open\n"));
@@ -306,7 +327,7 @@
         }
         Ok(match answer {
             Ok(Verdict::Served(Some(served))) => {
-                let mut response = Response::new(Full::new(served.body));
+                let mut response = Response::new(served.body);
                 if let Some(content_type) = served.content_type {
                     response.headers_mut().insert(header::CONTENT_TYPE, content_type);
                 }
@@ -332,18 +353,16 @@
     async fn inbound(
         &self,
         request: Request<Incoming>,
-        arrived: Micros,
-        late: Instant,
+        lane: &Lane,
     ) -> Result<(Arrival<Rc<Call>>, HeaderValue), Rejected> {
         let (head, body) = request.into_parts();
         let bad = |why| Rejected(StatusCode::BAD_REQUEST, why);
         let text = |name| head.headers.get(name).and_then(|v: &HeaderValue| v.to_str().ok());
-        // Rule 2: a length beside it may hide a further request in the body, and hyper has dropped that length
-        // by now. Clients of this protocol tell the length.
-        if head.headers.contains_key(header::TRANSFER_ENCODING) {
-            return Err(Rejected(StatusCode::LENGTH_REQUIRED, "Content-Length is required\n"));
+        // Rule 2: whoever goes by the length may find a further request in the body.
+        if head.headers.contains_key(header::TRANSFER_ENCODING) && lane.has_length_and_encoding() {
+            return Err(bad("Content-Length beside Transfer-Encoding\n"));
         }
-        if body.size_hint().lower() > BODY_CAP as u64 {
+        if body.size_hint().lower() > BODY_MOST {
             return Err(TOO_LARGE);
         }
         // Whoever reads the other one of two takes the request for something else.
@@ -378,12 +397,63 @@
         let key = head.uri.query().and_then(about);
         let work = text(WEIGHT_HINT).and_then(|v| v.trim().parse().ok());
         let repeat = text(REPEAT) == Some("1");
-        let body = collect(body, late).await?;
+        let length = exact_size(&body, &head.headers);
+        let body = self.gather(body, length).await?;
+        // The time of a request counts from its last byte. One that is passed on as it comes has not ended yet.
+        let arrived = self.clock.now();
         let headers = forwarded(head.headers);
-        let call = Rc::new(Call { method: head.method, target: head.uri, headers, body });
+        let target = origin_form(head.uri).ok_or(bad("the target makes no sense\n"))?;
+        let own = Duration::from_micros(patience.saturating_sub(ANSWER_MARGIN.min(patience / 2)));
+        let patience = match &body {
+            Payload::Whole(_) => patience,
+            Payload::Passed(_) => patience + micros(pace::time_for(length.unwrap_or(BODY_MOST))),
+        };
+        let call = Rc::new(Call { method: head.method, target, headers, body, patience: own });
         let conduct = Conduct::Carried(call);
         Ok((Arrival { class, tenant, key, arrived, patience, work, repeat, conduct }, id))
     }
+
+    /// A request's body: whole where that is small or there is room for it, and otherwise passed on as it comes.
+    async fn gather(&self, mut body: Incoming, length: Option<u64>) -> Result<Payload, Rejected> {
+        if body.is_end_stream() {
+            return Ok(Payload::Whole(Bytes::new()));
+        }
+        let (began, mut size) = (Instant::now(), 0);
+        let (mut pieces, mut room) = (VecDeque::new(), None::<Reserved>);
+        loop {
+            let by = began + pace::time_for(size as u64);
+            let piece = timeout_at(by, next_piece(&mut body)).await;
+            let piece = piece.map_err(|_| Rejected(StatusCode::REQUEST_TIMEOUT, "the body is late\n"))?;
+            let piece = piece.map_err(|_| Rejected(StatusCode::BAD_REQUEST, "the body is broken\n"))?;
+            let Some(piece) = piece else {
+                let whole = join(pieces);
+                return Ok(Payload::Whole(match room {
+                    Some(room) => room.hold(whole),
+                    None => whole,
+                }));
+            };
+            let more = piece.len();
+            size += more;
+            pieces.push_back(piece);
+            if size <= BODY_CAP {
+                continue;
+            }
+            // The whole is joined at the end, so that for a moment there are two of it.
+            let whole = length.map_or(size, |length| usize::try_from(length).unwrap_or(usize::MAX));
+            let kept = whole <= self.large_most
+                && match (&mut room, length) {
+                    (Some(_), Some(_)) => true,
+                    (Some(room), None) => room.grow(2 * more),
+                    (None, _) => {
+                        room = self.large.reserve(2 * whole);
+                        room.is_some()
+                    }
+                };
+            if !kept {
+                return Ok(Payload::Passed(Upload::new(pieces, room, body, length)));
+            }
+        }
+    }
 }
 
 /// Tells the engine when a client leaves while its request is open: its connection then drops the answer's
@@ -427,17 +497,16 @@
     }
 }
 
-async fn collect(body: Incoming, late: Instant) -> Result<Bytes, Rejected> {
-    let collected = timeout_at(late, Limited::new(body, BODY_CAP).collect()).await;
-    let collected = collected.map_err(|_| Rejected(StatusCode::REQUEST_TIMEOUT, "the body is late\n"))?;
-    let collected = collected.map_err(|error| {
-        if error.is::<LengthLimitError>() {
-            TOO_LARGE
-        } else {
-            Rejected(StatusCode::BAD_REQUEST, "the body is broken\n")
-        }
-    })?;
-    Ok(collected.to_bytes())
+/// Path and query alone, whatever form the target came in: backends are no proxies.
+fn origin_form(target: Uri) -> Option<Uri> {
+    match target.scheme() {
+        None => Some(target),
+        Some(_) => target.into_parts().path_and_query.map(Uri::from),
+    }
+}
+
+fn micros(span: Duration) -> Micros {
+    u64::try_from(span.as_micros()).unwrap_or(u64::MAX)
 }
 
 /// Headers that speak of one connection or of a message's framing.
@@ -470,14 +539,14 @@
     headers
 }
 
-fn plain(status: StatusCode, text: &'static str) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::new(Bytes::from_static(text.as_bytes())));
+fn plain(status: StatusCode, text: &'static str) -> Response<Content> {
+    let mut response = Response::new(Content::whole(Bytes::from_static(text.as_bytes())));
     *response.status_mut() = status;
     response.headers_mut().insert(header::CONTENT_TYPE, HeaderValue::from_static("text/plain"));
     response
 }
 
-fn refusal(retry_after: Micros) -> Response<Full<Bytes>> {
+fn refusal(retry_after: Micros) -> Response<Content> {
     let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, "no room\n");
     if retry_after > 0
         && let Ok(seconds) = HeaderValue::try_from(format!("{:.3}", retry_after as f64 / 1e6))
@@ -487,7 +556,7 @@
     response
 }
 
-fn close(response: &mut Response<Full<Bytes>>) {
+fn close(response: &mut Response<Content>) {
     response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
 }
 
--- a/crates/proxy/src/config.rs
+++ b/crates/proxy/src/config.rs
@@ -73,8 +73,8 @@
     pub client_sockets: usize,
     /// Backend connections that may be open at a time, idle ones too.
     pub backend_sockets: usize,
-    /// Bytes that answers beyond the usual size may hold at a time.
-    pub large_answers: usize,
+    /// Bytes that bodies of requests beyond the usual size may hold at a time.
+    pub large_bodies: usize,
 }
 
 #[derive(Deserialize)]
@@ -175,7 +175,7 @@
         let named = |list: Vec<Named>| list.into_iter().map(|n| n.name).collect();
         let console = raw.console.or_else(|| variable("EDGE_CONSOLE")).filter(|given| !given.is_empty());
         let console = console.map(|given| address("console", Some(given), "EDGE_CONSOLE")).transpose()?;
-        let (client_sockets, backend_sockets, large_answers) = shares(&raw.limits, console.is_some());
+        let (client_sockets, backend_sockets, large_bodies) = shares(&raw.limits, console.is_some());
         Ok(Self {
             name: raw.name.or_else(|| variable("EDGE_NAME")).unwrap_or_default(),
             listen: address("listen", raw.listen, "EDGE_LISTEN")?,
@@ -194,14 +194,14 @@
             dial_timeout: more.permissions.dial_timeout_us.filter(|&t| t > 0).unwrap_or(DEFAULT_DIAL),
             client_sockets,
             backend_sockets,
-            large_answers,
+            large_bodies,
         })
     }
 }
 
-/// Client connections, backend connections, and bytes of large answers that there may be at a time. What all of
+/// Client connections, backend connections, and bytes of large bodies that there may be at a time. What all of
 /// them may hold has to fit into the memory: two fifths of it for the heads and bodies that came from clients, a
-/// fifth for those from backends, a fifth for large answers.
+/// fifth for those from backends, a fifth for large bodies.
 fn shares(limits: &RawLimits, console: bool) -> (usize, usize, usize) {
     let reserved = RESERVED_SOCKETS + if console { CONSOLE_SOCKETS } else { 0 };
     let free = limits.sockets.unwrap_or(DEFAULT_SOCKETS).max(2 * reserved) - reserved;
--- /dev/null
+++ b/crates/proxy/src/lane.rs
@@ -0,0 +1,280 @@
+//! A client's connection as its bytes show it: whether it rests, a head is on its way or a request is open, and since
+//! when. What it may still take, and whether it may be closed, is decided here by times that are given in; the socket is
+//! only passed through.
+
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::mem::MaybeUninit;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+/// How long a client may say nothing, from connecting or from its last answer on.
+pub const REST: Duration = Duration::from_millis(2_500);
+/// How long a head may take from its first byte on. Slow clients are promised 2 s.
+pub const HEAD: Duration = Duration::from_millis(2_500);
+/// What clients are promised for a head.
+const HEAD_PROMISED: Duration = Duration::from_millis(2_100);
+/// A client that has just come is about to say something.
+const JUST_COME: Duration = Duration::from_millis(50);
+/// How long a client may take no byte of an answer that waits for it.
+pub const STUCK: Duration = Duration::from_secs(10);
+/// The bytes of a head that are kept for a second look.
+const KEPT: usize = crate::bounds::REQUEST_HEAD_CAP;
+
+/// What a connection is doing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Doing {
+    /// No byte of a request has come since the last answer.
+    Resting,
+    /// A part of a head has come.
+    Heading,
+    /// A request is open.
+    Asking,
+}
+
+/// What is known of a client's connection.
+#[derive(Debug)]
+pub struct Lane {
+    doing: Cell<Doing>,
+    /// Since when it is doing that.
+    since: Cell<Instant>,
+    /// Since when bytes wait that the client does not take.
+    stuck: Cell<Option<Instant>>,
+    /// The bytes that came since the last answer, up to a bound.
+    head: RefCell<Vec<u8>>,
+    /// Ends the connection.
+    pub closes: Notify,
+}
+
+impl Lane {
+    /// A connection that has just come.
+    #[must_use]
+    pub fn new(now: Instant) -> Rc<Self> {
+        Rc::new(Self {
+            doing: Cell::new(Doing::Resting),
+            since: Cell::new(now),
+            stuck: Cell::new(None),
+            head: RefCell::default(),
+            closes: Notify::new(),
+        })
+    }
+
+    fn turn(&self, doing: Doing, now: Instant) {
+        self.doing.set(doing);
+        self.since.set(now);
+    }
+
+    /// Bytes have come.
+    fn heard(&self, bytes: &[u8], now: Instant) {
+        match self.doing.get() {
+            Doing::Asking => return,
+            Doing::Resting => self.turn(Doing::Heading, now),
+            Doing::Heading => {}
+        }
+        let mut head = self.head.borrow_mut();
+        let room = KEPT.saturating_sub(head.len());
+        head.extend_from_slice(&bytes[..bytes.len().min(room)]);
+    }
+
+    /// The head of a request is whole.
+    pub fn asks(&self, now: Instant) {
+        self.turn(Doing::Asking, now);
+    }
+
+    /// The request has its answer.
+    pub fn answered(&self, now: Instant) {
+        self.head.borrow_mut().clear();
+        self.turn(Doing::Resting, now);
+    }
+
+    /// Whether the head that came holds both a length and an encoding. The HTTP library drops the length unseen. Of a
+    /// head that came ahead of the last answer nothing is known; the library closes the connection behind such a one.
+    #[must_use]
+    pub fn has_length_and_encoding(&self) -> bool {
+        let head = self.head.borrow();
+        let end = head.windows(4).position(|w| w == b"\r\n\r\n").unwrap_or(head.len());
+        let named = |name: &[u8]| {
+            let mut lines = head[..end].split(|&byte| byte == b'\n');
+            lines.any(|line| line.len() > name.len() && line[..name.len()].eq_ignore_ascii_case(name))
+        };
+        named(b"content-length:") && named(b"transfer-encoding:")
+    }
+
+    /// Whether its time is over.
+    #[must_use]
+    pub fn is_over(&self, now: Instant) -> bool {
+        let since = now.saturating_duration_since(self.since.get());
+        let stuck = self.stuck.get().is_some_and(|at| now.saturating_duration_since(at) >= STUCK);
+        match self.doing.get() {
+            Doing::Resting => since >= REST,
+            Doing::Heading => since >= HEAD,
+            Doing::Asking => stuck,
+        }
+    }
+
+    /// How soon it may make room for another, the least first: those that say nothing, then heads that take longer than
+    /// any client is promised, then those that have only just come, and then other heads; among those the eldest. A
+    /// request that is open never gives way.
+    #[must_use]
+    pub fn gives_way(&self, now: Instant) -> Option<(u8, Instant)> {
+        let since = self.since.get();
+        let age = now.saturating_duration_since(since);
+        let turn = match self.doing.get() {
+            Doing::Resting if age >= JUST_COME => 0,
+            Doing::Heading if age >= HEAD_PROMISED => 1,
+            Doing::Resting => 2,
+            Doing::Heading => 3,
+            Doing::Asking => return None,
+        };
+        Some((turn, since))
+    }
+
+    /// Whether nothing of a request and nothing of an answer is on its way.
+    #[must_use]
+    pub fn is_at_rest(&self) -> bool {
+        self.doing.get() == Doing::Resting && self.stuck.get().is_none()
+    }
+
+    /// What it is doing.
+    #[must_use]
+    pub fn doing(&self) -> Doing {
+        self.doing.get()
+    }
+}
+
+/// Whether nothing waits unread in the kernel. The runtime may not have seen yet what the kernel knows already.
+pub fn is_quiet(stream: &TcpStream) -> bool {
+    let mut byte = [MaybeUninit::uninit()];
+    let peeked = socket2::SockRef::from(stream).peek(&mut byte);
+    peeked.is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
+}
+
+/// A client's socket that tells its lane what passes.
+pub struct LaneIo {
+    stream: Rc<RefCell<TcpStream>>,
+    lane: Rc<Lane>,
+}
+
+impl LaneIo {
+    /// The socket of this lane.
+    #[must_use]
+    pub fn new(stream: Rc<RefCell<TcpStream>>, lane: Rc<Lane>) -> Self {
+        Self { stream, lane }
+    }
+
+    fn write(
+        &self,
+        poll: impl FnOnce(Pin<&mut TcpStream>) -> Poll<io::Result<usize>>,
+    ) -> Poll<io::Result<usize>> {
+        let polled = poll(Pin::new(&mut *self.stream.borrow_mut()));
+        match polled {
+            Poll::Pending if self.lane.stuck.get().is_none() => self.lane.stuck.set(Some(Instant::now())),
+            Poll::Pending => {}
+            Poll::Ready(_) => self.lane.stuck.set(None),
+        }
+        polled
+    }
+}
+
+impl AsyncRead for LaneIo {
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        ready!(Pin::new(&mut *self.stream.borrow_mut()).poll_read(cx, buf))?;
+        let bytes = &buf.filled()[before..];
+        if !bytes.is_empty() && self.lane.doing() != Doing::Asking {
+            self.lane.heard(bytes, Instant::now());
+        }
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncWrite for LaneIo {
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        self.write(|stream| stream.poll_write(cx, buf))
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        self.write(|stream| stream.poll_write_vectored(cx, bufs))
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut *self.stream.borrow_mut()).poll_shutdown(cx)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn time_counts_from_what_was_last_heard() {
+        let began = Instant::now();
+        let lane = Lane::new(began);
+        let at = |ms: u64| began + Duration::from_millis(ms);
+        assert!(!lane.is_over(at(2_400)) && lane.is_over(at(2_500)));
+        // It rested for 2.4 s, and now has its whole time for a head.
+        lane.heard(b"GE", at(2_400));
+        lane.heard(b"T /", at(4_000));
+        assert_eq!(lane.doing(), Doing::Heading);
+        assert!(!lane.is_over(at(4_800)) && lane.is_over(at(4_900)));
+        lane.asks(at(4_800));
+        assert!(!lane.is_over(at(60_000)), "an open request has its own times");
+        lane.answered(at(60_000));
+        assert!(!lane.is_over(at(62_400)) && lane.is_over(at(62_500)));
+    }
+
+    #[test]
+    fn the_longest_at_rest_gives_way_first_and_an_open_request_never() {
+        let began = Instant::now();
+        let lanes: Vec<_> = (0..4).map(|n| Lane::new(began + Duration::from_secs(n))).collect();
+        lanes[0].heard(b"G", began + Duration::from_secs(5));
+        lanes[3].asks(began + Duration::from_secs(6));
+        let first = |secs: u64| {
+            let now = began + Duration::from_secs(secs);
+            let all = (0..4).filter_map(|n| Some((lanes[n].gives_way(now)?, n)));
+            all.min().map(|(_, n)| n)
+        };
+        assert_eq!(first(6), Some(1));
+        lanes[1].asks(began);
+        assert_eq!(first(8), Some(2));
+        lanes[2].turn(Doing::Resting, began + Duration::from_secs(8));
+        assert_eq!(first(8), Some(0), "its head takes too long, the other has just come");
+        lanes[2].asks(began);
+        assert_eq!(first(6), Some(0));
+        lanes[0].asks(began);
+        assert_eq!(first(9), None);
+    }
+
+    #[test]
+    fn a_length_beside_an_encoding_is_seen_in_either_order_and_only_in_the_head() {
+        let seen = |text: &str| {
+            let lane = Lane::new(Instant::now());
+            text.as_bytes().chunks(7).for_each(|piece| lane.heard(piece, Instant::now()));
+            lane.has_length_and_encoding()
+        };
+        let (length, encoding) = ("Content-Length: 5\r\n", "transfer-encoding: chunked\r\n");
+        assert!(seen(&format!("POST / HTTP/1.1\r\n{length}{encoding}\r\n")));
+        assert!(seen(&format!("POST / HTTP/1.1\r\n{encoding}A: b\r\n{length}\r\n")));
+        assert!(!seen(&format!("POST / HTTP/1.1\r\n{encoding}\r\n1c\r\n{length}\r\n0\r\n\r\n")));
+        assert!(!seen(&format!("POST / HTTP/1.1\r\n{length}\r\nhello")));
+        assert!(!seen(&format!("POST / HTTP/1.1\r\n{encoding}X-Content-Length: 5\r\n\r\n")));
+    }
+}
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -2,13 +2,18 @@
 //! reports what came of it; it never picks a backend, retries, holds or refuses by itself.
 
 pub mod backends;
+pub mod body;
 pub mod bounds;
 pub mod carrier;
 pub mod claim;
 pub mod clients;
 pub mod config;
 pub mod discovery;
+pub mod exchange;
+pub mod lane;
 pub mod log;
 pub mod names;
+pub mod pace;
 pub mod roster;
 pub mod turns;
+pub mod wire;
--- a/crates/rig/src/virtual_time.rs
+++ b/crates/rig/src/virtual_time.rs
@@ -407,7 +407,8 @@
             return;
         }
         let (proxy, request, number, lease) = (attempt.proxy, attempt.request, attempt.number, attempt.lease);
-        let ended = Ended { outcome, payload: (outcome == Outcome::Ok).then_some(()), report: Vec::new() };
+        let ended =
+            Ended { outcome, payload: (outcome == Outcome::Ok).then_some(()), report: Vec::new(), waited: 0 };
         match lease {
             None => self.proxies[proxy].ended(self.now, request, number, ended),
             Some(lease) => {
