--- a/crates/decision/src/api.rs
+++ b/crates/decision/src/api.rs
@@ -38,7 +38,7 @@
 }
 
 /// A class of requests.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Class {
     /// Answers inside this span earn the full worth.
     pub aim: Micros,
@@ -55,14 +55,14 @@
 }
 
 /// A tenant and its share of the service.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Tenant {
     /// Requests a second within its share, over all proxies.
     pub allowance_per_s: f64,
 }
 
 /// The parts of the load report that the module reads, by their position in the report.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct ReportFields {
     /// Requests in hand at the backend.
     pub active: Option<usize>,
@@ -73,7 +73,7 @@
 }
 
 /// Limits of what an instance may do.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Permissions {
     /// Attempts for one request.
     pub max_attempts: u16,
@@ -92,7 +92,7 @@
 }
 
 /// Figures of the rules.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Safety {
     /// An instance without a subscription is taken to know the list as of this long ago.
     pub ask_within: Micros,
@@ -107,7 +107,7 @@
 }
 
 /// What an instance is told at its start.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
     /// The number of this instance among the proxies of its tier.
     pub me: u32,
@@ -357,6 +357,9 @@
     },
     /// A timer fell due.
     Timer(u32),
+    /// Other settings hold for requests that come from now on; those that are open keep to the ones they came under. The
+    /// classes known so far keep their places, the zones, kinds and tenants stay as they are.
+    Retune(&'a Settings),
 }
 
 /// What an instance does.
--- a/crates/decision/src/balancer.rs
+++ b/crates/decision/src/balancer.rs
@@ -1,11 +1,9 @@
-//! Every decision of the load balancer. The interface (settings, events, actions) is in `src/api.rs`; each
-//! kind of decision has its file under `balancer/`, and requests pass through here from coming to answer.
-//!
-//! The ordinary path: each proxy keeps, for every ready server, its requests in flight (IFR) and an AIMD
-//! limit. A request goes where room (limit - IFR) is greatest. When no server has room it is held for a
-//! tenth of its time left, then refused. Departures are marked `Departure:` with the condition under which
-//! they act; `docs/design.md` lists them. The four rules are kept in `scope` and `may_refuse` (effects),
-//! `answer` and `send` (one answer, nothing after it), `ready` (drains) and `ColdBudget` (cold servers).
+//! Every decision of the load balancer. The interface is in `src/api.rs`; each kind of decision has its file
+//! under `balancer/`, and requests pass through here from coming to answer. The ordinary path: each proxy
+//! keeps, for every ready server, its requests in flight (IFR) and an AIMD limit. A request goes where room
+//! (limit - IFR) is greatest. When no server has room it is held for a tenth of its time left, then refused.
+//! Departures are marked `Departure:` with their condition; `docs/design.md` lists them. The four rules are
+//! kept in `scope` and `may_refuse` (effects), `answer`, `send` (one answer), `ready` (drains), `ColdBudget`.
 
 mod choice;
 mod cold;
@@ -71,21 +69,15 @@
     ejections: u64,
 }
 impl Balancer {
-    /// A balancer that knows no backends yet.
-    ///
-    /// # Errors
-    /// The first of the settings that makes no sense.
+    /// A balancer that knows no backends yet, or the first of the settings that makes no sense.
     pub fn new(settings: Settings, seed: u64, now: Micros) -> Result<Self, SettingsError> {
         settings.validate()?;
-        let latency =
-            |aim: Micros| Latency { count: 0, mean: aim as f64 / 4.0, base: f64::MAX, base_at: now };
         let kinds = usize::from(settings.kinds).max(1);
-        let latencies = settings.classes.iter().flat_map(|c| vec![latency(c.aim); kinds]).collect();
+        let latencies = settings.classes.iter().flat_map(|c| vec![Latency::new(c.aim, now); kinds]).collect();
         let window = Window { since: now, ..Window::default() };
         let common = CommonLimit { limit: INITIAL_LIMIT, growing: true, window, service: 0.0 };
-        let share = f64::from(settings.balancers);
-        let bucket =
-            |t: &crate::api::Tenant| Bucket { tokens: t.allowance_per_s / share, at: now, asked: 0.0 };
+        let tokens = |t: &crate::api::Tenant| t.allowance_per_s / f64::from(settings.balancers);
+        let bucket = |t| Bucket { tokens: tokens(t), at: now, asked: 0.0 };
         Ok(Self {
             rng: fastrand::Rng::with_seed(seed),
             servers: Servers::default(),
@@ -124,10 +116,18 @@
                 self.open.find(request).into_iter().for_each(|slot| self.close(slot));
             }
             Event::Probed { .. } => {}
+            Event::Retune(settings) => self.on_retune(now, settings),
             Event::Timer(token) => self.on_timer(now, token, out),
         }
     }
 
+    /// Other settings hold for what comes from now on. New classes stand behind those that were there.
+    fn on_retune(&mut self, now: Micros, settings: &Settings) {
+        let (kinds, new) = (self.kinds.len(), settings.classes.iter().skip(self.settings.classes.len()));
+        self.latencies.extend(new.flat_map(|c| vec![Latency::new(c.aim, now); kinds]));
+        self.settings.clone_from(settings);
+    }
+
     /// How often a server was ejected.
     pub fn ejections(&self) -> u64 {
         self.ejections
@@ -149,6 +149,7 @@
             class,
             arrived: now,
             deadline: now + request.patience,
+            max_attempts: usize::from(self.settings.permissions.max_attempts),
             over_share,
             carried: request.carried,
             answered: false,
@@ -164,10 +165,9 @@
         self.dispatch(now, slot, out);
     }
 
-    /// Whether a tenant is beyond its share; a request within it takes a token. A proxy knows only its own
-    /// part of the traffic, and that is more than one in `balancers` where others died: a tenant without a
-    /// token is over its share only if it also asks for more of its allowance here than the tenants do on
-    /// the whole.
+    /// Whether a tenant is beyond its share; a request within it takes a token. A proxy's own part of the
+    /// traffic is more than one in `balancers` where others died: a tenant without a token is over its share
+    /// only if it also asks for more of its allowance here than the tenants do on the whole.
     fn over_share(&mut self, now: Micros, tenant: usize) -> bool {
         let allowance = |tenant: usize| self.settings.tenants[tenant].allowance_per_s;
         let Some(bucket) = self.tenants.get_mut(tenant) else { return false };
--- a/crates/decision/src/balancer/choice.rs
+++ b/crates/decision/src/balancer/choice.rs
@@ -118,8 +118,7 @@
         if server.in_flight > 0 && now > server.silent_since + overdue {
             return false;
         }
-        // Departure: a server that turns requests away answers at once and so looks the emptiest of all. It
-        // is left alone for about the time in which one of its requests ends.
+        // Departure: one that turns requests away looks the emptiest; it is left alone for a request's time.
         if now < server.full_until {
             return false;
         }
--- a/crates/decision/src/balancer/health.rs
+++ b/crates/decision/src/balancer/health.rs
@@ -144,13 +144,11 @@
     }
 
     /// How long the connection that the next attempt on a server takes has rested; 0 for a new one. The
-    /// attempts of a server take its connections from the first on, so the last ones rest longest.
-    ///
-    /// Departure: something between here and a server (a firewall, a balancer's own limit) may drop a resting
-    /// connection unseen, and what is sent on it gets no answer. A connection that rested for longer than is
-    /// trusted is closed before the send. The trust starts at the time after which idle connections close by
-    /// themselves and backs off at each request that got no answer on a rested one. It can cost handshakes
-    /// where servers hang or restart.
+    /// attempts of a server take its connections from the first on, so the last ones rest longest. Departure:
+    /// something between here and a server (a firewall, a balancer's own limit) may drop a resting connection
+    /// unseen: no answer comes. One that rested for longer than is trusted is closed before the send. The
+    /// trust starts at the time after which idle connections close by themselves and backs off at each
+    /// request that got no answer on a rested one. It can cost handshakes where servers hang or restart.
     pub(super) fn connection(&mut self, now: Micros, index: usize, out: &mut Vec<Action>) -> Micros {
         let multiplex = self.settings.permissions.multiplex.max(1);
         let trusted = self.trusted_rest(now);
--- a/crates/decision/src/balancer/repeats.rs
+++ b/crates/decision/src/balancer/repeats.rs
@@ -18,7 +18,7 @@
     pub(super) fn scope(&self, now: Micros, open: &Open) -> Scope {
         let permissions = &self.settings.permissions;
         let out = open.out();
-        if open.answered || open.streaming || open.attempts.len() >= usize::from(permissions.max_attempts) {
+        if open.answered || open.streaming || open.attempts.len() >= open.max_attempts {
             return Scope::Nowhere;
         }
         if out > 0 && !permissions.second_copies {
@@ -74,7 +74,7 @@
     /// for another one, hold its slot, and make a server that answers all else look silent.
     pub(super) fn give_up_at(&self, now: Micros, open: &Open) -> (Micros, bool) {
         let class = &self.settings.classes[open.class];
-        let last = open.attempts.len() + 1 >= usize::from(self.settings.permissions.max_attempts);
+        let last = open.attempts.len() + 1 >= open.max_attempts;
         if last || class.effect == Effect::Unsafe || self.retry_tokens < 1.0 {
             return (open.deadline, false);
         }
--- a/crates/decision/src/state.rs
+++ b/crates/decision/src/state.rs
@@ -15,7 +15,6 @@
 }
 
 /// What this proxy may send a cold server: one token a send.
-///
 /// Rule 4: every proxy finds the empty newcomer the roomiest at once. Each takes only its own share of what
 /// the server can stand, and starts at a random point of its token's period so that they don't come together.
 #[derive(Clone, Copy)]
@@ -70,7 +69,6 @@
 /// not pile up; a place is used again only when no attempt names it, for the attempt's outcome would be
 /// booked to the newcomer.
 pub(crate) type Servers = Places<Server>;
-/// The requests that this proxy took.
 pub(crate) type Requests = Places<Open>;
 
 impl Servers {
@@ -125,6 +123,7 @@
     pub(crate) class: usize,
     pub(crate) arrived: Micros,
     pub(crate) deadline: Micros,
+    pub(crate) max_attempts: usize,
     pub(crate) over_share: bool,
     pub(crate) carried: bool,
     /// The client has its final answer, or left.
@@ -135,6 +134,12 @@
     pub(crate) attempts: SmallVec<[Attempt; 2]>,
 }
 
+impl Latency {
+    pub(crate) fn new(aim: Micros, now: Micros) -> Self {
+        Self { count: 0, mean: aim as f64 / 4.0, base: f64::MAX, base_at: now }
+    }
+}
+
 impl Open {
     pub(crate) fn out(&self) -> usize {
         self.attempts.iter().filter(|a| matches!(a.state, AttemptState::Out | AttemptState::Session)).count()
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -247,6 +247,8 @@
     conduct: Conduct<X::Work>,
     /// `None` once the client has its final answer or has left.
     reply: Option<X::Reply>,
+    /// How often it may be sent.
+    max_attempts: usize,
     attempts: Vec<Attempt>,
 }
 
@@ -266,6 +268,7 @@
 pub struct Engine<X: Exchange> {
     balancer: Balancer,
     bounds: Bounds,
+    /// How often a request that comes now may be sent.
     max_attempts: usize,
     /// The latest time that was told: an earlier one counts as this.
     latest: Micros,
@@ -344,7 +347,12 @@
             repeat: arrival.repeat,
             carried: matches!(arrival.conduct, Conduct::Carried(_)),
         };
-        let open = Open { conduct: arrival.conduct, reply: Some(reply), attempts: Vec::new() };
+        let open = Open {
+            conduct: arrival.conduct,
+            reply: Some(reply),
+            max_attempts: self.max_attempts,
+            attempts: Vec::new(),
+        };
         self.open.insert(id, open);
         self.remind(now + left.saturating_sub(LAST_MARGIN.min(left / 4)), Due::LastMoment(id));
         self.feed(now, Event::Request(request));
@@ -447,6 +455,18 @@
         }
     }
 
+    /// Other settings hold for requests that come from now on; see [`Event::Retune`].
+    ///
+    /// # Errors
+    /// The first setting that makes no sense; then nothing has changed.
+    pub fn retune(&mut self, now: Micros, settings: &Settings) -> Result<(), SettingsError> {
+        settings.validate()?;
+        let now = self.at(now);
+        self.max_attempts = usize::from(settings.permissions.max_attempts);
+        self.feed(now, Event::Retune(settings));
+        Ok(())
+    }
+
     /// A probe has ended.
     pub fn probed(&mut self, now: Micros, backend: BackendId, outcome: Outcome, report: &[f32]) {
         let now = self.at(now);
@@ -691,7 +711,7 @@
     fn send(&mut self, now: Micros, request: RequestId, backend: BackendId, give_up_at: Micros) {
         let Some(open) = self.open.get_mut(&request) else { return };
         let attempt = open.attempts.len() as u16;
-        let may_go = open.reply.is_some() && open.attempts.len() < self.max_attempts && give_up_at > now;
+        let may_go = open.reply.is_some() && open.attempts.len() < open.max_attempts && give_up_at > now;
         open.attempts.push(Attempt { backend, sent_at: now, state: State::Out, lease: 0 });
         self.counts.attempts += 1;
         match &open.conduct {
--- a/crates/engine/src/shell/mod.rs
+++ b/crates/engine/src/shell/mod.rs
@@ -9,7 +9,7 @@
 use crate::engine::{Arrival, Command, Counts, Ended, Engine, Exchange, Grant, Overload, Verdict};
 use crate::lease::{LeaseCounts, LeaseError, LeaseId};
 use clock::Clock;
-use haventrack_decision::api::{BackendId, Membership, Micros, RequestId};
+use haventrack_decision::api::{BackendId, Membership, Micros, RequestId, Settings, SettingsError};
 use rustc_hash::FxHashMap;
 use std::cell::{Cell, RefCell};
 use std::future::Future;
@@ -171,6 +171,14 @@
         self.drive(|engine, now| engine.membership(now, news));
     }
 
+    /// Other settings hold for requests that come from now on.
+    ///
+    /// # Errors
+    /// The first setting that makes no sense; then nothing has changed.
+    pub fn retune(&self, settings: &Settings) -> Result<(), SettingsError> {
+        self.drive(|engine, now| engine.retune(now, settings))
+    }
+
     /// The transport, for what a front does beside requests.
     #[must_use]
     pub fn transport(&self) -> &T {
--- a/crates/program/src/lib.rs
+++ b/crates/program/src/lib.rs
@@ -1,4 +1,5 @@
 //! The proxy's program as a library: [`program`] puts the fronts round one engine and takes them down again in order.
 
 pub mod program;
+mod renewal;
 mod staff;
--- a/crates/program/src/program.rs
+++ b/crates/program/src/program.rs
@@ -1,5 +1,6 @@
 //! One real proxy from its configuration to its end.
 
+use crate::renewal::Renewal;
 use crate::staff::{Files, Sockets, Staff};
 use haventrack_decision::api::{Settings, SettingsError};
 use haventrack_engine::claims::{self, Claims};
@@ -20,6 +21,7 @@
 use haventrack_proxy::names::Names;
 use haventrack_proxy::roster::Roster;
 use haventrack_proxy::turns::Turns;
+use haventrack_settings::renewal::RenewalError;
 use std::cell::{Cell, RefCell};
 use std::future::Future;
 use std::io;
@@ -57,21 +59,6 @@
     socket.listen(BACKLOG)
 }
 
-/// Reads the configuration again at each SIGHUP, for as long as the proxy runs, and tells where discovery is
-/// now. Serving goes on meanwhile; a file that can't be used changes nothing.
-async fn follow_configuration(mut reload: Signal, discovery: watch::Sender<SocketAddr>) {
-    while reload.recv().await.is_some() {
-        match Config::from_env() {
-            Ok(config) => {
-                log(format_args!("read the configuration again: discovery is at {}", config.discovery));
-                discovery
-                    .send_if_modified(|now| std::mem::replace(now, config.discovery) != config.discovery);
-            }
-            Err(error) => log(format_args!("kept the old configuration: {error}")),
-        }
-    }
-}
-
 /// Why the program ended, or could not begin.
 #[derive(Debug, Error)]
 pub enum ProgramError {
@@ -84,6 +71,9 @@
     /// The settings make no sense.
     #[error("{0}")]
     Settings(#[from] SettingsError),
+    /// The classes can't be told apart.
+    #[error("{0}")]
+    Classes(#[from] RenewalError),
     /// The external processor can't begin.
     #[error("external processor: {0}")]
     Extproc(#[from] ServerError),
@@ -178,7 +168,6 @@
     let clock = Clock::start();
     let Fronts { http: config, extproc } = fronts.into();
     let settings = config.settings;
-    let longest = settings.classes.iter().map(|c| c.deadline).max().unwrap_or_default();
     let asked = settings.discovery_on_request;
     let fleet = Fleet::new(
         config.backend_sockets,
@@ -234,12 +223,13 @@
         turns,
     );
     watcher.start_from(config.known);
+    let renewal = Renewal::new(config.shape, settings.clone(), &config.names, handle.clone())?;
     let (phase, phases) = watch::channel(Phase::Running);
     let most = config.client_sockets;
     let clients = Clients::new(
         handle.clone(),
         clock,
-        &settings,
+        renewal.client_classes(clock.now()),
         &config.names,
         Rc::clone(&held),
         phases,
@@ -260,10 +250,11 @@
         log(format_args!("{} answers its staff on {console}", config.name));
     }
 
+    let longest = renewal.longest();
     // Kept alive to the end: a watch whose sender is gone ends.
     let _discovery = match reload {
         Some(reload) => {
-            tokio::task::spawn_local(follow_configuration(reload, discovery));
+            tokio::task::spawn_local(renewal.follow(reload, discovery, Rc::clone(&clients)));
             None
         }
         None => Some(discovery),
@@ -283,7 +274,7 @@
             if let Some(staff) = &staff {
                 staff.drains();
             }
-            let longest = Duration::from_micros(longest);
+            let longest = Duration::from_micros(longest.get());
             match &extproc {
                 Some(extproc) => {
                     tokio::join!(drain(&clients, &phase, longest), extproc.drain(longest));
--- a/crates/program/tests/proxy/rig.rs
+++ b/crates/program/tests/proxy/rig.rs
@@ -370,12 +370,13 @@
     }
 
     /// Waits for a line of the log that holds these words.
-    pub fn wait_for_log(&mut self, words: &str) {
+    pub fn wait_for_log(&mut self, words: &str) -> String {
         let mut line = String::new();
         while !line.contains(words) {
             line.clear();
             assert_ne!(self.log.read_line(&mut line).expect("a log"), 0, "the proxy ended");
         }
+        line
     }
 
     /// What it still logs until it ends.
--- /dev/null
+++ b/crates/proxy/src/classes.rs
@@ -0,0 +1,166 @@
+//! The classes that clients may name, and those that they could name until just now. Pure: no I/O, no clock.
+
+use crate::claim::Terms;
+use haventrack_decision::api::{Class as Decided, Effect, Micros, Settings};
+use hyper::Method;
+use rustc_hash::FxHashMap;
+
+/// How long a class that was dropped or changed is still served as it was to clients that don't know yet: they take up a
+/// new one 1.2 s after the settings.
+const STILL_SERVED: Micros = 3_000_000;
+
+/// What requests of a class have to look like, and its place among the classes of the decisions.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Class {
+    /// Its place.
+    pub place: u8,
+    /// How long a client waits in all.
+    pub deadline: Micros,
+    /// Whether each request has a key.
+    keyed: bool,
+    method: Method,
+}
+
+/// Why a request is of no class.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Misfit {
+    /// No class has this name.
+    Unknown,
+    /// The class is not asked with this method.
+    Method,
+    /// The class wants a key.
+    NoKey,
+}
+
+#[derive(Debug, Default)]
+struct Entry {
+    now: Option<Class>,
+    /// What it was, and until when that is still served.
+    before: Option<(Class, Micros)>,
+}
+
+/// All classes by their names.
+#[derive(Debug, Default)]
+pub struct Classes {
+    entries: FxHashMap<String, Entry>,
+    /// On what terms requests are held, by the class's place.
+    terms: Vec<Terms>,
+}
+
+impl Class {
+    fn new(place: usize, class: &Decided) -> Option<Self> {
+        Some(Self {
+            place: u8::try_from(place).ok()?,
+            deadline: class.deadline,
+            keyed: matches!(class.effect, Effect::Keyed { .. }),
+            method: if class.effect == Effect::Safe { Method::GET } else { Method::POST },
+        })
+    }
+
+    fn fits(&self, method: &Method, has_key: bool) -> Result<&Self, Misfit> {
+        match () {
+            () if self.method != method => Err(Misfit::Method),
+            // Without its key a repeat would not be dropped.
+            () if self.keyed && !has_key => Err(Misfit::NoKey),
+            () => Ok(self),
+        }
+    }
+}
+
+impl Classes {
+    /// From now on these classes hold: each name with its place in the settings.
+    pub fn hold<'a>(
+        &mut self,
+        now: Micros,
+        settings: &Settings,
+        named: impl Iterator<Item = (usize, &'a str)>,
+    ) {
+        let until = now.saturating_add(STILL_SERVED);
+        let mut old = std::mem::take(&mut self.entries);
+        for (place, name) in named {
+            let class = settings.classes.get(place).and_then(|class| Class::new(place, class));
+            let was = old.remove(name).unwrap_or_default();
+            let before = match was.now {
+                Some(before) if Some(&before) != class.as_ref() => Some((before, until)),
+                _ => was.before,
+            };
+            self.entries.insert(name.to_owned(), Entry { now: class, before });
+        }
+        for (name, was) in old {
+            let before = was.now.map(|before| (before, until)).or(was.before);
+            // What nobody can ask for any more is forgotten.
+            if before.as_ref().is_some_and(|(_, until)| *until > now) {
+                self.entries.insert(name, Entry { now: None, before });
+            }
+        }
+        self.terms = settings.classes.iter().map(Terms::of).collect();
+    }
+
+    /// The class of a request.
+    ///
+    /// # Errors
+    /// Why it is of none.
+    pub fn find(&self, now: Micros, name: &str, method: &Method, has_key: bool) -> Result<&Class, Misfit> {
+        let entry = self.entries.get(name).ok_or(Misfit::Unknown)?;
+        let before = entry.before.as_ref().filter(|(_, until)| now < *until);
+        let present = entry.now.as_ref().ok_or(Misfit::Unknown).and_then(|c| c.fits(method, has_key));
+        present.or_else(|misfit| {
+            let before = before.and_then(|(class, _)| class.fits(method, has_key).ok());
+            before.ok_or(misfit)
+        })
+    }
+
+    /// On what terms the requests of the class at this place are held.
+    #[must_use]
+    pub fn terms(&self, place: u8) -> Option<Terms> {
+        self.terms.get(usize::from(place)).copied()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use haventrack_decision::api::DedupGroup;
+    use haventrack_settings::parse_settings;
+
+    fn settings(classes: &[Effect]) -> Settings {
+        let text = r#"{"balancers": 1, "me": 0, "zone": 0, "membershipMode": "pushed", "classes": [{"aimUs": 1,
+            "deadlineUs": 1, "worth": 1, "effect": "retryable"}], "permissions": {"maxAttempts": 1},
+            "safety": {"coldFrom": 0.3, "coldUs": 1, "fallMultiple": 3, "fallUs": 1}}"#;
+        let mut settings = parse_settings(text.as_bytes()).expect("settings");
+        let like = settings.classes[0].clone();
+        settings.classes = classes.iter().map(|&effect| Decided { effect, ..like.clone() }).collect();
+        settings
+    }
+
+    const KEYED: Effect = Effect::Keyed { group: DedupGroup::All, ttl: 9 };
+
+    #[test]
+    fn a_class_that_was_dropped_or_changed_is_served_as_it_was_for_a_while() {
+        let mut classes = Classes::default();
+        classes.hold(0, &settings(&[Effect::Safe, KEYED]), [(0, "read"), (1, "lift")].into_iter());
+        let place = |classes: &Classes, now, name: &str, method: Method, key| {
+            classes.find(now, name, &method, key).map(|class| class.place)
+        };
+        assert_eq!(place(&classes, 0, "read", Method::GET, false), Ok(0));
+        assert_eq!(place(&classes, 0, "read", Method::POST, false), Err(Misfit::Method));
+        assert_eq!(place(&classes, 0, "lift", Method::POST, false), Err(Misfit::NoKey));
+        assert_eq!(place(&classes, 0, "none", Method::GET, false), Err(Misfit::Unknown));
+        // "read" becomes unsafe at a place of its own, "lift" is dropped, "view" is new.
+        let changed = settings(&[Effect::Safe, KEYED, Effect::Unsafe, Effect::Safe]);
+        classes.hold(100, &changed, [(2, "read"), (3, "view")].into_iter());
+        let soon = 100 + STILL_SERVED - 1;
+        for now in [100, soon] {
+            assert_eq!(place(&classes, now, "read", Method::GET, false), Ok(0), "as it was");
+            assert_eq!(place(&classes, now, "read", Method::POST, false), Ok(2), "as it is");
+            assert_eq!(place(&classes, now, "lift", Method::POST, true), Ok(1));
+            assert_eq!(place(&classes, now, "view", Method::GET, false), Ok(3));
+        }
+        assert_eq!(place(&classes, soon + 1, "read", Method::GET, false), Err(Misfit::Method));
+        assert_eq!(place(&classes, soon + 1, "lift", Method::POST, true), Err(Misfit::Unknown));
+        // The same settings once more change nothing, and forget what is over.
+        classes.hold(soon + 1, &changed, [(2, "read"), (3, "view")].into_iter());
+        assert_eq!(classes.entries.len(), 2);
+        assert_eq!(place(&classes, soon + 1, "read", Method::POST, false), Ok(2));
+    }
+}
--- a/crates/proxy/src/clients.rs
+++ b/crates/proxy/src/clients.rs
@@ -3,14 +3,15 @@
 use crate::body::{Content, Large, Reserved, Tracked, Upload, exact_size, next_piece};
 use crate::bounds::{BODY_CAP, BODY_MOST, REQUEST_HEAD_CAP};
 use crate::carrier::{Handle, Reply};
-use crate::claim::{Claim, Taken, Terms};
+use crate::claim::{Claim, Taken};
+use crate::classes::{Classes, Misfit};
 use crate::exchange::{Call, Payload, join};
 use crate::lane::{Doing, Lane, LaneIo, is_quiet};
 use crate::log::log;
 use crate::names::Names;
 use crate::pace;
 use bytes::Bytes;
-use haventrack_decision::api::{Effect, Micros, RequestId, Settings};
+use haventrack_decision::api::{Micros, RequestId};
 use haventrack_engine::claims;
 use haventrack_engine::engine::{ANSWER_MARGIN, Arrival, Conduct, Overload, Verdict};
 use haventrack_engine::shell::clock::Clock;
@@ -19,7 +20,7 @@
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Method, Request, Response, StatusCode, Uri};
+use hyper::{Request, Response, StatusCode, Uri};
 use hyper_util::rt::TokioIo;
 use rustc_hash::{FxHashMap, FxHashSet};
 use slab::Slab;
@@ -73,17 +74,11 @@
     Closing,
 }
 
-struct Class {
-    deadline: Micros,
-    keyed: bool,
-    method: Method,
-}
-
 /// What all client connections share.
 pub struct Clients {
     handle: Handle,
     clock: Clock,
-    classes: FxHashMap<String, (u8, Class)>,
+    classes: RefCell<Classes>,
     tenants: FxHashMap<String, u16>,
     held: Rc<Cell<bool>>,
     phase: watch::Receiver<Phase>,
@@ -100,8 +95,6 @@
     ids: RefCell<FxHashSet<HeaderValue>>,
     /// Who holds which request, where callers outside hold some as well.
     claims: Option<claims::Shared>,
-    /// On what terms, by class.
-    terms: Vec<Terms>,
 }
 
 /// A request that is answered here because the module can't be asked about it.
@@ -118,7 +111,7 @@
     pub fn new(
         handle: Handle,
         clock: Clock,
-        settings: &Settings,
+        classes: Classes,
         names: &Names,
         held: Rc<Cell<bool>>,
         phase: watch::Receiver<Phase>,
@@ -126,16 +119,10 @@
         large_bodies: usize,
         claims: Option<claims::Shared>,
     ) -> Rc<Self> {
-        let class = |c: &haventrack_decision::api::Class| Class {
-            deadline: c.deadline,
-            keyed: matches!(c.effect, Effect::Keyed { .. }),
-            method: if c.effect == Effect::Safe { Method::GET } else { Method::POST },
-        };
-        let classes = names.classes.iter().zip(0..=u8::MAX).zip(&settings.classes);
         Rc::new(Self {
             handle,
             clock,
-            classes: classes.map(|((name, i), c)| (name.clone(), (i, class(c)))).collect(),
+            classes: RefCell::new(classes),
             tenants: names.tenants.iter().cloned().zip(0..).collect(),
             held,
             phase,
@@ -148,7 +135,6 @@
             accepted_at: Cell::new(Instant::now()),
             ids: RefCell::default(),
             claims,
-            terms: settings.classes.iter().map(Terms::of).collect(),
         })
     }
 
@@ -158,6 +144,12 @@
         self.open.get()
     }
 
+    /// The classes that clients may name.
+    #[must_use]
+    pub fn classes(&self) -> &RefCell<Classes> {
+        &self.classes
+    }
+
     /// So many may be open from now on.
     pub fn allow(&self, most: usize) {
         self.most.set(most);
@@ -346,7 +338,7 @@
             return Ok(None);
         };
         let key = call.headers.get(IDEMPOTENCY_KEY).map(HeaderValue::as_bytes);
-        let terms = self.terms[usize::from(arrival.class)];
+        let Some(terms) = self.classes.borrow().terms(arrival.class) else { return Ok(None) };
         Claim::take(claims, self.clock, id.as_bytes(), arrival.class, key, terms)
     }
 
@@ -370,17 +362,16 @@
             return Err(bad("a header comes twice\n"));
         }
         let in_path = head.uri.path().split('/').nth(1).unwrap_or_default();
-        let (class, facts) = self.classes.get(in_path).ok_or(bad("unknown class\n"))?;
         if head.headers.contains_key(SERVICE_CLASS) && text(SERVICE_CLASS) != Some(in_path) {
             return Err(bad("the class of the header is not that of the path\n"));
         }
-        if head.method != facts.method {
-            return Err(Rejected(StatusCode::METHOD_NOT_ALLOWED, "not the method of this class\n"));
-        }
-        // Without its key a repeat would not be dropped.
-        if facts.keyed && text(IDEMPOTENCY_KEY).is_none_or(str::is_empty) {
-            return Err(bad("Idempotency-Key is missing\n"));
-        }
+        let has_key = text(IDEMPOTENCY_KEY).is_some_and(|key| !key.is_empty());
+        let class = self.classes.borrow().find(self.clock.now(), in_path, &head.method, has_key).cloned();
+        let class = class.map_err(|misfit| match misfit {
+            Misfit::Unknown => bad("unknown class\n"),
+            Misfit::Method => Rejected(StatusCode::METHOD_NOT_ALLOWED, "not the method of this class\n"),
+            Misfit::NoKey => bad("Idempotency-Key is missing\n"),
+        })?;
         let id =
             head.headers.get(CORRELATION_ID).filter(|_| text(CORRELATION_ID).is_some_and(|t| !t.is_empty()));
         let id = id.cloned().ok_or(bad("X-Correlation-Id is missing\n"))?;
@@ -393,7 +384,7 @@
         let time_left = digits.and_then(|v| v.parse::<u64>().ok());
         let time_left = time_left.filter(|&ms| ms <= MOST_TIME_LEFT_MS);
         let patience = time_left.ok_or(bad("X-Time-Left-Ms is missing or makes no sense\n"))? * 1_000;
-        let (class, patience) = (*class, patience.min(facts.deadline));
+        let (class, patience) = (class.place, patience.min(class.deadline));
         let key = head.uri.query().and_then(about);
         let work = text(WEIGHT_HINT).and_then(|v| v.trim().parse().ok());
         let repeat = text(REPEAT) == Some("1");
--- a/crates/proxy/src/config.rs
+++ b/crates/proxy/src/config.rs
@@ -5,6 +5,7 @@
 use haventrack_decision::api::{Micros, Settings, SettingsError};
 use haventrack_operations::console::CALLERS;
 use haventrack_settings::parse_settings;
+use haventrack_settings::renewal::{RenewalError, has_all_keys};
 use serde::Deserialize;
 use serde_json::Value;
 use std::net::SocketAddr;
@@ -32,6 +33,8 @@
     Address(&'static str, String),
     /// A setting makes no sense.
     Settings(SettingsError),
+    /// It can't take the place of the present configuration.
+    Renewal(RenewalError),
 }
 
 impl fmt::Display for ConfigError {
@@ -42,6 +45,7 @@
             Self::Malformed(error) => write!(f, "malformed configuration: {error}"),
             Self::Address(field, given) => write!(f, "`{field}` is no address: `{given}`"),
             Self::Settings(error) => write!(f, "{error}"),
+            Self::Renewal(error) => write!(f, "{error}"),
         }
     }
 }
@@ -67,6 +71,8 @@
     pub settings: Settings,
     /// What the settings name.
     pub names: Names,
+    /// The file as it came, without the list that it holds.
+    pub shape: Value,
     /// A connection that is not up after this time has failed.
     pub dial_timeout: Micros,
     /// Client connections that may be open at a time.
@@ -151,6 +157,16 @@
         Self::from_file(&path)
     }
 
+    /// Reads the file that the environment names again, to take the place of a configuration of this shape.
+    ///
+    /// # Errors
+    /// Says in one line what is missing or wrong, or was there before and is not now.
+    pub fn again(shape: &Value) -> Result<Self, ConfigError> {
+        let config = Self::from_env()?;
+        has_all_keys(shape, &config.shape).map_err(ConfigError::Renewal)?;
+        Ok(config)
+    }
+
     /// Reads this file; the environment fills in what it leaves out.
     ///
     /// # Errors
@@ -165,7 +181,11 @@
     /// # Errors
     /// Says what is missing or wrong.
     pub fn parse(text: &[u8], variable: impl Fn(&str) -> Option<String>) -> Result<Self, ConfigError> {
+        let mut shape: Value = serde_json::from_slice(text).map_err(ConfigError::Malformed)?;
         let raw: RawConfig = serde_json::from_slice(text).map_err(ConfigError::Malformed)?;
+        if let Some(known) = shape.get_mut("known") {
+            *known = Value::Null;
+        }
         let address = |field: &'static str, given: Option<String>, name: &str| {
             let given = given.or_else(|| variable(name)).unwrap_or_default();
             given.parse().map_err(|_| ConfigError::Address(field, given))
@@ -191,6 +211,7 @@
                 kinds: more.kinds,
                 report: more.load_report.fields,
             },
+            shape,
             dial_timeout: more.permissions.dial_timeout_us.filter(|&t| t > 0).unwrap_or(DEFAULT_DIAL),
             client_sockets,
             backend_sockets,
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod bounds;
 pub mod carrier;
 pub mod claim;
+pub mod classes;
 pub mod clients;
 pub mod config;
 pub mod discovery;
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -1,5 +1,7 @@
 //! The settings of the decisions in JSON, as the simulator sends them and a configuration holds them.
 
+pub mod renewal;
+
 use haventrack_decision::api::{
     Class, DedupGroup, Effect, Micros, Permissions, ReportFields, Safety, Settings, SettingsError, Tenant,
 };
@@ -144,8 +146,14 @@
 /// # Errors
 /// Names the key that is missing or makes no sense.
 pub fn parse_settings(json: &[u8]) -> Result<Settings, SettingsError> {
-    let raw: RawSettings = serde_json::from_slice(json)
-        .map_err(|e| SettingsError { field: "start-up settings".into(), problem: e.to_string() })?;
+    let mut json = serde_json::Deserializer::from_slice(json);
+    let raw: RawSettings = serde_path_to_error::deserialize(&mut json).map_err(|e| {
+        let field = match e.path().to_string() {
+            path if path == "." => "settings".to_owned(),
+            path => format!("settings.{path}"),
+        };
+        SettingsError { field, problem: e.inner().to_string() }
+    })?;
     let position = |name: &str| raw.load_report.fields.iter().position(|f| f == name);
     let classes = raw.classes.iter().enumerate().map(|(i, c)| class(i, c)).collect::<Result<_, _>>()?;
     let settings = Settings {
