--- a/crates/program/tests/day/main.rs
+++ b/crates/program/tests/day/main.rs
@@ -343,3 +343,123 @@
     proxy.wait_for_log("settings now: classes lift view; 4 attempts");
     assert_eq!(proxy.client().ask(&asked("view", "last", "GET", false)).status(), 200);
 }
+
+/// A request that may not be sent twice is open in the old process when it is told to end: it ends there, once.
+#[test]
+fn what_the_old_process_has_taken_ends_there_and_once() {
+    let discovery = Discovery::start();
+    let (word, wait) = std::sync::mpsc::channel::<()>();
+    let mut wait = Some(wait);
+    let backend = Backend::start(move |_| match wait.take() {
+        Some(wait) => rig::Reply::After(wait, Box::new(ok("first"))),
+        None => ok("later"),
+    });
+    let folder = folder("open");
+    let (mut old, console) = Proxy::start_in(&folder, "old", &with_console(&discovery, None));
+    discovery.post(true, &[entry("s-a", backend.address, "active", 0)]);
+    wait_until(console, "readyz\n", "SUCCESS");
+    let mut client = old.client();
+    client.send(&request("submit", "keyed", "x"));
+    assert_eq!(backend.next().header("idempotency-key"), Some("keyed"));
+    let (new, new_console) = Proxy::start_in(&folder, "new", &with_console(&discovery, Some(old.address)));
+    wait_until(new_console, "readyz\n", "SUCCESS");
+    old.terminate();
+    wait_until(console, "readyz\n", "FAILURE");
+    // What comes now is the new one's.
+    assert_eq!(new.client().ask(&request("read", "other", "")).body, b"later");
+    word.send(()).expect("the backend waits");
+    assert_eq!(client.receive().body, b"first");
+    assert!(old.wait().success());
+    assert_eq!(backend.next().header("x-correlation-id"), Some("other"));
+    assert_eq!(backend.rest(), 0, "nothing was sent twice");
+}
+
+/// Connections at rest close at the end, but none that has begun to say something.
+#[test]
+fn a_head_that_has_begun_is_answered_while_the_process_ends() {
+    let discovery = Discovery::start();
+    let (a, b) = backends();
+    let (mut proxy, console) = Proxy::start_in(&folder("half"), "half", &with_console(&discovery, None));
+    discovery.post(true, &list(&a, &b));
+    wait_until(console, "readyz\n", "SUCCESS");
+    let (mut resting, mut heading) = (proxy.client(), proxy.client());
+    for (client, id) in [(&mut resting, "1"), (&mut heading, "2")] {
+        assert_eq!(client.ask(&request("read", id, "")).status(), 200);
+    }
+    proxy.terminate();
+    wait_until(console, "readyz\n", "FAILURE");
+    let whole = request("read", "3", "");
+    let (begun, rest) = whole.split_at(30);
+    // It begins when the other one rests for so long that it is about to close.
+    heading.send(begun);
+    assert!(resting.ends_cleanly(), "it is at rest");
+    heading.send(rest);
+    let got = heading.receive();
+    assert_eq!((got.status(), got.header("connection")), (200, Some("close")), "{}", got.head);
+    assert!(heading.ends_cleanly());
+    drop((resting, heading));
+    assert!(proxy.wait().success());
+}
+
+/// The staff is answered within its second while clients keep the process busy.
+#[test]
+fn the_console_answers_beside_a_full_load() {
+    let discovery = Discovery::start();
+    let (a, b) = backends();
+    let (proxy, console) = Proxy::start_in(&folder("load"), "load", &with_console(&discovery, None));
+    discovery.post(true, &list(&a, &b));
+    wait_until(console, "readyz\n", "SUCCESS");
+    let stop = Arc::new(AtomicBool::new(false));
+    let clients: Vec<_> = (0..8)
+        .map(|number| {
+            let (stop, address) = (Arc::clone(&stop), proxy.address);
+            thread::spawn(move || {
+                let mut client = Client::connect(address);
+                (0..).take_while(|_| !stop.load(Ordering::Relaxed)).for_each(|n| {
+                    client.ask(&request("read", &format!("busy-{number}-{n}"), ""));
+                });
+            })
+        })
+        .collect();
+    let slowest = (0..60).map(|n| {
+        let began = std::time::Instant::now();
+        let line = ["readyz\n", "exclude s-a\n", "include s-a\n"][n % 3];
+        assert!(call(console, line).starts_with("SUCCESS"), "{line}");
+        began.elapsed()
+    });
+    let slowest = slowest.max();
+    stop.store(true, Ordering::Relaxed);
+    clients.into_iter().for_each(|client| client.join().expect("a client"));
+    assert!(slowest < Some(std::time::Duration::from_secs(1)), "{slowest:?}");
+}
+
+/// The kernel gives fewer descriptors than the configuration promises, and a crowd takes them all.
+#[test]
+fn a_crowd_that_takes_every_descriptor_keeps_nobody_out() {
+    let discovery = Discovery::start();
+    let backend = Backend::start(|_| ok("fine"));
+    let mut proxy = Proxy::start_limited("few-descriptors", &config("n9", &discovery), 40);
+    discovery.post(true, &[entry("s-1", backend.address, "active", 0)]);
+    let mut working = proxy.client();
+    assert_eq!(working.ask(&request("read", "before", "")).status(), 200);
+    let good = request("read", "half", "");
+    let crowd: Vec<_> = (0..120)
+        .map(|n| {
+            let mut client = proxy.client();
+            if n % 3 == 0 {
+                // A crowd that is asked to go may be gone already.
+                let _ = client.stream.write_all(&good.as_bytes()[..40]);
+            }
+            client
+        })
+        .collect();
+    for n in 0..20 {
+        let got = proxy.client().ask(&request("read", &format!("within-{n}"), ""));
+        assert_eq!(got.status(), 200, "{}", got.head);
+    }
+    drop(crowd);
+    assert_eq!(proxy.client().ask(&request("read", "after", "")).status(), 200);
+    proxy.terminate();
+    assert!(proxy.rest_of_log().contains("accept: "), "the shortage was there");
+    assert!(proxy.wait().success());
+}
--- a/crates/program/tests/proxy/rig.rs
+++ b/crates/program/tests/proxy/rig.rs
@@ -321,6 +321,19 @@
         (Self { child, address, name: name.into(), log }, callers)
     }
 
+    /// A proxy to which the kernel gives so many descriptors and no more, whatever it is told.
+    pub fn start_limited(name: &str, config: &Value, descriptors: usize) -> Self {
+        let path = config_path(name);
+        fs::write(&path, config.to_string()).expect("the configuration is written");
+        let mut command = Command::new("sh");
+        command.args(["-c", &format!("ulimit -n {descriptors}; exec \"$0\"")]);
+        command.arg(env!("CARGO_BIN_EXE_haventrack-proxy")).env("EDGE_CONFIG", path);
+        let mut child = command.stderr(Stdio::piped()).spawn().expect("the program starts");
+        let mut log = BufReader::new(child.stderr.take().expect("standard error"));
+        let address = told(&mut log, "listens on ");
+        Self { child, address, name: name.into(), log }
+    }
+
     /// A proxy with a console, and where that is.
     pub fn start_in(folder: &Path, name: &str, config: &Value) -> (Self, SocketAddr) {
         let mut child = launch_in(folder, name, &config.to_string());
--- a/crates/proxy/src/clients.rs
+++ b/crates/proxy/src/clients.rs
@@ -185,7 +185,8 @@
                 // Out of descriptors, or a client that is gone already: neither ends the proxy.
                 Err(error) => {
                     log(format_args!("accept: {error}"));
-                    sleep(ACCEPT_BACKOFF).await;
+                    self.ask_for_way();
+                    let _ = timeout(ACCEPT_BACKOFF, self.freed.notified()).await;
                 }
             }
         }
