--- a/crates/decision/src/balancer/choice.rs
+++ b/crates/decision/src/balancer/choice.rs
@@ -1,6 +1,6 @@
 //! The choice of a server: most room wins, near ones first.
 
-use super::{Balancer, FREE_CROSSING, GOLDEN};
+use super::{Balancer, FREE_CROSSING, GOLDEN, limits::STANDING};
 use crate::api::{Effect, Micros};
 use crate::state::{Scope, Server};
 
@@ -34,9 +34,9 @@
         let own = self.ready.iter().map(|&s| &self.servers[s]).filter(|s| self.near(s));
         let slots = own.map(|s| s.limit).sum::<f64>();
         let turn = (f64::from(self.settings.me) * GOLDEN).fract();
-        self.pool.judged_at = Some(now);
-        self.pool.slots = slots;
-        self.pool.spread = if slots > 0.0 { (MIN_SPREAD / slots).max(1.0) } else { 1.0 };
+        (self.pool.judged_at, self.pool.slots) = (Some(now), slots);
+        let wide = MIN_SPREAD + (1.0 - MIN_SPREAD) * (self.refused / STANDING).min(1.0);
+        self.pool.spread = if slots > 0.0 { (wide / slots).max(1.0) } else { 1.0 };
         let most = if self.pool.spread > 1.0 { (slots + slots.sqrt() + turn) as u32 } else { u32::MAX };
         self.pool.most = most.max(1);
     }
