--- a/crates/proxy/src/body.rs
+++ b/crates/proxy/src/body.rs
@@ -34,9 +34,6 @@
     /// It is larger than anything that is passed on.
     #[error("more than {BODY_MOST} bytes")]
     TooLarge,
-    /// It has been passed on already.
-    #[error("it was passed on before")]
-    Spent,
 }
 
 /// What large bodies that are kept may hold at a time, until their last byte has gone. Those within the protocol's
@@ -103,7 +100,7 @@
 #[derive(Debug)]
 pub struct Upload {
     first: RefCell<VecDeque<Bytes>>,
-    rest: RefCell<Option<Incoming>>,
+    rest: RefCell<Incoming>,
     /// Its whole length, where the client told it.
     length: Option<u64>,
     /// Room that what has come takes.
@@ -126,7 +123,7 @@
     ) -> Rc<Self> {
         Rc::new(Self {
             first: RefCell::new(first),
-            rest: RefCell::new(Some(rest)),
+            rest: RefCell::new(rest),
             length,
             _room: room,
             passed: Cell::new(0),
@@ -156,18 +153,23 @@
     /// Whether a part of it has gone, so that it can't be sent again.
     #[must_use]
     pub fn is_spent(&self) -> bool {
-        self.passed.get() > 0 || self.ended.get().is_some() || self.rest.borrow().is_none()
+        self.passed.get() > 0 || self.ended.get().is_some()
+    }
+}
+
+impl Stream for Rc<Upload> {
+    fn length(&self) -> Option<u64> {
+        self.length
     }
 
-    fn poll(&self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, BrokenOff>>> {
+    fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, BrokenOff>>> {
         if let Some(bytes) = self.first.borrow_mut().pop_front() {
             self.passed.set(self.passed.get() + bytes.len() as u64);
             return Poll::Ready(Some(Ok(Frame::data(bytes))));
         }
         let mut rest = self.rest.borrow_mut();
-        let Some(body) = rest.as_mut() else { return Poll::Ready(Some(Err(BrokenOff::Spent))) };
         loop {
-            let frame = match std::task::ready!(Pin::new(&mut *body).poll_frame(cx)) {
+            let frame = match std::task::ready!(Pin::new(&mut *rest).poll_frame(cx)) {
                 None => {
                     self.ended.set(Some(Instant::now()));
                     return Poll::Ready(None);
@@ -193,16 +195,38 @@
     }
 }
 
-/// A request's body as it goes to a backend.
+/// What is passed on as it comes.
+pub trait Stream: Unpin {
+    /// The next piece, as a body gives it.
+    fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, BrokenOff>>>;
+
+    /// The length of the whole, where it was told.
+    fn length(&self) -> Option<u64>;
+}
+
+/// A body on its way out.
 #[derive(Debug)]
-pub enum Outgoing {
-    /// Kept: it can be sent again.
+pub enum Carried<S> {
+    /// Kept.
     Whole(Full<Bytes>),
     /// Passed on as it comes.
-    Passed(Rc<Upload>),
+    Passed(S),
+}
+
+/// A request's body as it goes to a backend; one that is kept can be sent again.
+pub type Outgoing = Carried<Rc<Upload>>;
+/// An answer's body as it goes to the client.
+pub type Content = Carried<Box<Passing>>;
+
+impl<S> Carried<S> {
+    /// These bytes.
+    #[must_use]
+    pub fn whole(bytes: Bytes) -> Self {
+        Self::Whole(Full::new(bytes))
+    }
 }
 
-impl Body for Outgoing {
+impl<S: Stream> Body for Carried<S> {
     type Data = Bytes;
     type Error = BrokenOff;
 
@@ -212,7 +236,7 @@
     ) -> Poll<Option<Result<Frame<Bytes>, BrokenOff>>> {
         match self.get_mut() {
             Self::Whole(body) => Pin::new(body).poll_frame(cx).map_err(|never: Infallible| match never {}),
-            Self::Passed(upload) => upload.poll(cx),
+            Self::Passed(stream) => stream.poll(cx),
         }
     }
 
@@ -226,7 +250,7 @@
     fn size_hint(&self) -> SizeHint {
         match self {
             Self::Whole(body) => body.size_hint(),
-            Self::Passed(upload) => upload.length.map_or_else(SizeHint::default, SizeHint::with_exact),
+            Self::Passed(stream) => stream.length().map_or_else(SizeHint::default, SizeHint::with_exact),
         }
     }
 }
@@ -260,6 +284,12 @@
     pub fn new(first: VecDeque<Bytes>, rest: Incoming, length: Option<u64>, at_end: AtEnd) -> Self {
         Self { first, rest, length, passed: 0, silence: Box::pin(sleep(SILENCE)), at_end: Some(at_end) }
     }
+}
+
+impl Stream for Box<Passing> {
+    fn length(&self) -> Option<u64> {
+        self.length
+    }
 
     fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, BrokenOff>>> {
         if let Some(bytes) = self.first.pop_front() {
@@ -293,52 +323,6 @@
     }
 }
 
-/// An answer's body as it goes to the client.
-#[derive(Debug)]
-pub enum Content {
-    /// Kept.
-    Whole(Full<Bytes>),
-    /// Passed on as it comes.
-    Passed(Box<Passing>),
-}
-
-impl Content {
-    /// These bytes.
-    #[must_use]
-    pub fn whole(bytes: Bytes) -> Self {
-        Self::Whole(Full::new(bytes))
-    }
-}
-
-impl Body for Content {
-    type Data = Bytes;
-    type Error = BrokenOff;
-
-    fn poll_frame(
-        self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, BrokenOff>>> {
-        match self.get_mut() {
-            Self::Whole(body) => Pin::new(body).poll_frame(cx).map_err(|never: Infallible| match never {}),
-            Self::Passed(passing) => passing.poll(cx),
-        }
-    }
-
-    fn is_end_stream(&self) -> bool {
-        match self {
-            Self::Whole(body) => body.is_end_stream(),
-            Self::Passed(_) => false,
-        }
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        match self {
-            Self::Whole(body) => body.size_hint(),
-            Self::Passed(passing) => passing.length.map_or_else(SizeHint::default, SizeHint::with_exact),
-        }
-    }
-}
-
 /// An answer's body that tells its connection when it is through.
 pub struct Tracked {
     content: Content,
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -3,7 +3,6 @@
 use crate::body::{Outgoing, Upload, exact_size, next_piece};
 use crate::bounds::{BODY_CAP, BODY_MOST};
 use bytes::{Bytes, BytesMut};
-use http_body_util::Full;
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::SendRequest;
 use hyper::header::{
@@ -175,7 +174,7 @@
 #[must_use]
 pub fn request(call: &Call, address: SocketAddr, left: Duration) -> Request<Outgoing> {
     let body = match &call.body {
-        Payload::Whole(bytes) => Outgoing::Whole(Full::new(bytes.clone())),
+        Payload::Whole(bytes) => Outgoing::whole(bytes.clone()),
         Payload::Passed(upload) => Outgoing::Passed(Rc::clone(upload)),
     };
     let mut request = Request::new(body);
