Rig: arrivals drawn ahead, plain references on them, faults of processes in virtual time

Need: 200 processes spread their load less evenly than chance does and refuse on a nearly idle fleet (measured from outside).

Change: `plan.rs` draws arrivals (skewed proxies, a busy zone, exponential work) and what happens to processes from the seed; `reference.rs` plays random, round robin, two choices and a queue that knows all over them; `spread.rs` measures load beside what chance gives, idle boxes, recovery. Virtual time kills, stops and restarts processes, with old lists or none, behind a front that notices late. The judge excuses what goes with a killed process and counts a stopped one's time as none of its. Boxes may have several speeds.

--- /dev/null
+++ b/crates/rig/src/fleet/report.rs
@@ -0,0 +1,291 @@
+//! Results as rows: one JSON line each, a table for people, medians over seeds. Pure.
+
+use crate::judge::Judgement;
+use crate::plan::Plan;
+use crate::reference::{self, Policy};
+use crate::script::Script;
+use crate::spread::{self, Spread};
+use crate::virtual_time;
+use haventrack_decision::api::SettingsError;
+use serde::{Deserialize, Serialize};
+use std::fmt::Write as _;
+
+/// The longest line that [`parse`] takes, in bytes: a row has a few hundred.
+const LINE_CAP: usize = 64 * 1024;
+
+/// What one way made of one day.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Row {
+    /// The script's title.
+    pub script: String,
+    /// The version of the program.
+    pub build: String,
+    /// `processes`, `virtual` or the name of a reference.
+    pub way: String,
+    /// The day's seed.
+    pub seed: u64,
+    /// Requests a second over what keeps all boxes busy.
+    pub load: f64,
+    /// Requests that were asked.
+    pub asked: u64,
+    /// Worth earned over worth asked for.
+    pub worth: f64,
+    /// Part served in time.
+    pub in_time: f64,
+    /// Refused.
+    pub refused: u64,
+    /// Failed.
+    pub failed: u64,
+    /// Reached no proxy.
+    pub missed: u64,
+    /// Went with a killed process, or ended while theirs stood still.
+    pub excused: u64,
+    /// Median time of a served answer, milliseconds.
+    pub p50_ms: f64,
+    /// Time under which 99 of 100 served answers stayed, milliseconds.
+    pub p99_ms: f64,
+    /// Breaks of rules 1 to 4.
+    pub broken: [u64; 4],
+    /// How evenly boxes were loaded.
+    pub spread: Spread,
+    /// What the processes and the laboratory itself cost, where there were processes.
+    pub cost: Option<Cost>,
+}
+
+/// What a day over processes cost, and how late the laboratory was itself.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Cost {
+    /// Processor time of a process, seconds: the mean.
+    pub proxy_cpu_s: f64,
+    /// Processor time of the laboratory, seconds.
+    pub rig_cpu_s: f64,
+    /// How late the laboratory asked, milliseconds: 99 of 100 were asked within.
+    pub late_p99_ms: f64,
+    /// Whether the day took the machine beyond what its figures can bear.
+    pub spoilt: bool,
+}
+
+/// The program's version.
+#[must_use]
+pub fn build() -> String {
+    env!("CARGO_PKG_VERSION").into()
+}
+
+impl Row {
+    /// The row of a day that was judged.
+    #[must_use]
+    pub fn new(script: &Script, way: &str, judged: &Judgement, spread: Spread) -> Self {
+        let all = &judged.all;
+        let asked = all.asked + all.missed;
+        Self {
+            script: script.title.clone(),
+            build: build(),
+            way: way.into(),
+            seed: script.seed,
+            load: script.traffic.per_s / script.capacity_per_s(),
+            asked,
+            worth: all.goodput(),
+            in_time: all.in_time as f64 / (asked as f64).max(1.0),
+            refused: all.refused,
+            failed: all.failed,
+            missed: all.missed,
+            excused: all.excused,
+            p50_ms: judged.percentile(0.5) as f64 / 1e3,
+            p99_ms: judged.percentile(0.99) as f64 / 1e3,
+            broken: judged.broken,
+            spread,
+            cost: None,
+        }
+    }
+
+    /// Whether no rule broke.
+    #[must_use]
+    pub fn is_clean(&self) -> bool {
+        self.broken == [0; 4]
+    }
+}
+
+/// What each reference makes of the script's arrivals.
+#[must_use]
+pub fn references(script: &Script) -> Vec<Row> {
+    let plan = Plan::draw(script);
+    let row = |policy: Policy| {
+        let record = reference::play(script, &plan, policy);
+        let judged = crate::judge::judge(script, &record, 0);
+        let spread = spread::measure(script, &plan, &record.in_order(), reference::START);
+        let way = serde_json::to_value(policy).ok().and_then(|v| v.as_str().map(str::to_owned));
+        Row::new(script, &way.unwrap_or_default(), &judged, spread)
+    };
+    Policy::ALL.into_iter().map(row).collect()
+}
+
+/// The program's row in virtual time.
+///
+/// # Errors
+/// Where the script's figures give settings that make no sense.
+pub fn in_virtual_time(script: &Script) -> Result<Row, SettingsError> {
+    let report = virtual_time::play(script)?;
+    Ok(Row::new(script, "virtual", &report.judgement, report.spread))
+}
+
+/// The head of [`line()`].
+#[must_use]
+pub fn head() -> String {
+    format!(
+        "{:<12} {:>5} {:>6} {:>6} {:>6} {:>7} {:>6} {:>6}  {:>7} {:>7}  {:>5} {:>5} {:>6} {:>6}  {:>6} {:>6}  {:>5} {:>5}  recovery s",
+        "way",
+        "load",
+        "asked",
+        "worth",
+        "intime",
+        "refused",
+        "failed",
+        "lost",
+        "p50 ms",
+        "p99 ms",
+        "busy",
+        "least",
+        "dev",
+        "chance",
+        "idle",
+        "most",
+        "conn",
+        "rules"
+    )
+}
+
+/// A row for people.
+#[must_use]
+pub fn line(row: &Row) -> String {
+    let s = &row.spread;
+    let mut text = format!(
+        "{:<12} {:>5.2} {:>6} {:>6.3} {:>6.3} {:>7} {:>6} {:>6}  {:>7.1} {:>7.1}  {:>5.2} {:>5.2} {:>6.3} {:>6.3}  {:>6} {:>6.0}  {:>5.2} {:>5}  ",
+        row.way,
+        row.load,
+        row.asked,
+        row.worth,
+        row.in_time,
+        row.refused,
+        row.failed,
+        row.missed + row.excused,
+        row.p50_ms,
+        row.p99_ms,
+        s.busiest,
+        s.least,
+        s.deviation,
+        s.chance,
+        s.idle,
+        s.idle_most,
+        s.connections,
+        row.broken.iter().sum::<u64>(),
+    );
+    for recovery in &s.recovery_s {
+        let _ = match recovery {
+            Some(seconds) => write!(text, " {seconds:.0}"),
+            None => write!(text, " never"),
+        };
+    }
+    if let Some(cost) = &row.cost {
+        let spoilt = if cost.spoilt { ", SPOILT: the laboratory was late itself" } else { "" };
+        let _ = write!(
+            text,
+            "  [cpu s: {:.2} a proxy, {:.1} laboratory; late p99 {:.1} ms{spoilt}]",
+            cost.proxy_cpu_s, cost.rig_cpu_s, cost.late_p99_ms
+        );
+    }
+    text
+}
+
+/// Reads rows, one JSON line each; empty lines are passed over.
+///
+/// # Errors
+/// The line's number and what is wrong with it.
+pub fn parse(text: &str) -> Result<Vec<Row>, String> {
+    let mut rows = Vec::new();
+    for (number, line) in text.lines().enumerate().filter(|(_, line)| !line.trim().is_empty()) {
+        if line.len() > LINE_CAP {
+            return Err(format!("line {}: {} bytes, {LINE_CAP} at most", number + 1, line.len()));
+        }
+        rows.push(serde_json::from_str(line).map_err(|e| format!("line {}: {e}", number + 1))?);
+    }
+    Ok(rows)
+}
+
+/// Least, median and most.
+fn range(mut values: Vec<f64>) -> (f64, f64, f64) {
+    values.sort_unstable_by(f64::total_cmp);
+    let at = |place: usize| values.get(place).copied().unwrap_or(f64::NAN);
+    (at(0), at(values.len() / 2), at(values.len().saturating_sub(1)))
+}
+
+/// Medians with their range over seeds, of each way at each load of each script; in the order in which they first come.
+#[must_use]
+pub fn compare(rows: &[Row]) -> String {
+    let key =
+        |row: &Row| (row.script.clone(), format!("{:.2}", row.load), row.way.clone(), row.build.clone());
+    let mut keys = Vec::new();
+    for row in rows {
+        if !keys.contains(&key(row)) {
+            keys.push(key(row));
+        }
+    }
+    let mut text = format!(
+        "{:<12} {:>5} {:>5}  {:<22} {:<22} {:<22} {:<22} {:<22} {:<20}\n",
+        "way", "load", "days", "worth", "refused, %", "p99, ms", "busiest", "least", "deviation / chance"
+    );
+    let mut script = None;
+    for key_of in keys {
+        if script.as_ref() != Some(&key_of.0) {
+            let _ = writeln!(text, "{}", key_of.0);
+            script = Some(key_of.0.clone());
+        }
+        let same: Vec<&Row> = rows.iter().filter(|row| key(row) == key_of).collect();
+        let _ = write!(text, "{:<12} {:>5} {:>5} ", key_of.2, key_of.1, same.len());
+        let figures: [&dyn Fn(&Row) -> f64; 6] = [
+            &|r| r.worth,
+            &|r| 100.0 * r.refused as f64 / (r.asked as f64).max(1.0),
+            &|r| r.p99_ms,
+            &|r| r.spread.busiest,
+            &|r| r.spread.least,
+            &|r| r.spread.deviation / r.spread.chance,
+        ];
+        for figure in figures {
+            let (least, median, most) = range(same.iter().map(|row| figure(row)).collect());
+            let decimals = if median >= 20.0 { 0 } else { 3 };
+            let cell = format!("{median:.decimals$} ({least:.decimals$}..{most:.decimals$})");
+            let _ = write!(text, " {cell:<22}");
+        }
+        text.push('\n');
+    }
+    text
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn row(way: &str, seed: u64, worth: f64) -> Row {
+        Row { script: "day".into(), way: way.into(), seed, worth, load: 0.6, asked: 100, ..Row::default() }
+    }
+
+    #[test]
+    fn rows_are_read_as_written_and_a_wrong_line_is_named() {
+        let mut spoilt = row("processes", 7, 0.9);
+        spoilt.spread.recovery_s = vec![None, Some(2.0)];
+        spoilt.cost = Some(Cost { spoilt: true, ..Cost::default() });
+        let rows = vec![row("virtual", 1, 0.5), spoilt];
+        let lines: Vec<String> = rows.iter().map(|r| serde_json::to_string(r).expect("a line")).collect();
+        assert_eq!(parse(&format!("{}\n\n{}\n", lines[0], lines[1])), Ok(rows));
+        let wrong = parse(&format!("{}\n{{\"script\":3}}", lines[0])).expect_err("a number is no title");
+        assert!(wrong.starts_with("line 2:"), "{wrong}");
+        assert!(parse(&"x".repeat(LINE_CAP + 1)).expect_err("too long").contains("at most"));
+    }
+
+    #[test]
+    fn medians_are_of_each_way_apart() {
+        let rows: Vec<Row> =
+            [0.1, 0.9, 0.5].into_iter().enumerate().map(|(i, w)| row("a", i as u64, w)).collect();
+        let text = compare(&[rows, vec![row("b", 1, 0.7)]].concat());
+        assert!(text.contains("0.500 (0.100..0.900)") && text.contains("0.700 (0.700..0.700)"), "{text}");
+    }
+}
--- /dev/null
+++ b/crates/rig/src/judge/tests.rs
@@ -0,0 +1,133 @@
+use super::*;
+use std::path::Path;
+
+const DAY: &str = r#"
+seed = 7
+seconds = 10.0
+fleet = { boxes = 12, proxies = 2, zones = 2, cells = 3, cores = 1.0, holds = 2.0 }
+traffic = { per_s = 100.0 }
+class = [
+  { name = "read", effect = "safe", share = 1.0, work_ms = [10.0, 20.0], aim_ms = 200, deadline_ms = 500, worth = 1.0 },
+  { name = "lift", effect = "keyed-cell", share = 1.0, work_ms = [10.0, 20.0], aim_ms = 200, deadline_ms = 500, worth = 9.0, late_worth = 0.5 },
+  { name = "pay", effect = "unsafe", share = 1.0, work_ms = [10.0, 20.0], aim_ms = 200, deadline_ms = 500, worth = 1.0 },
+]
+"#;
+
+/// The breaks of each rule in this record, where request 1 is of the class and asked at 0 of proxy 0.
+fn broken(class: usize, seen: &[(Micros, Seen)]) -> [u64; 4] {
+    day(class, seen).broken
+}
+
+fn day(class: usize, seen: &[(Micros, Seen)]) -> Judgement {
+    let script = Script::parse(DAY, Path::new("day")).expect("a good script");
+    let mut record = Record::default();
+    record.add(0, Seen::Asked { id: 1, class, end: 500_000, proxy: 0 });
+    seen.iter().for_each(|&(at, seen)| record.add(at, seen));
+    judge(&script, &record, 0)
+}
+
+const fn began(at_box: usize) -> Seen {
+    Seen::Began { id: 1, at_box, work: 10_000 }
+}
+
+const fn got(got: Got) -> Seen {
+    Seen::Answered { id: 1, got }
+}
+
+#[test]
+fn one_answer_in_time_is_clean_and_earns_its_worth() {
+    let good = day(1, &[(10, began(0)), (50_000, got(Got::Served))]);
+    assert_eq!((good.broken, good.all.earned, good.all.in_time), ([0; 4], 9.0, 1));
+    let late = day(1, &[(10, began(0)), (300_000, got(Got::Served))]);
+    assert_eq!((late.broken, late.all.earned, late.all.late), ([0; 4], 4.5, 1));
+}
+
+#[test]
+fn rule_1_lost_doubled_late_and_forged_answers() {
+    assert_eq!(broken(0, &[]), [1, 0, 0, 0]);
+    let served = (20, got(Got::Served));
+    assert_eq!(broken(0, &[(10, began(0)), served, (30, got(Got::Failed))]), [1, 0, 0, 0]);
+    assert_eq!(broken(0, &[(10, began(0)), (500_001, got(Got::Served))]), [1, 0, 0, 0]);
+    assert_eq!(broken(0, &[served]), [1, 0, 0, 0]);
+}
+
+#[test]
+fn rule_2_what_ran_twice_or_was_refused_after_it_ran() {
+    let end = (90, got(Got::Failed));
+    assert_eq!(broken(2, &[(10, began(0)), (20, began(2)), end]), [0, 1, 0, 0]);
+    // Boxes 0 and 6 share a cell, 0 and 2 do not.
+    assert_eq!(broken(1, &[(10, began(0)), (20, began(6)), end]), [0; 4]);
+    assert_eq!(broken(1, &[(10, began(0)), (20, began(2)), end]), [0, 1, 0, 0]);
+    assert_eq!(broken(1, &[(10, began(0)), (90, got(Got::Refused))]), [0, 1, 0, 0]);
+    assert_eq!(broken(1, &[(90, got(Got::Refused)), (95, began(0))]), [0, 1, 0, 0]);
+    assert_eq!(broken(0, &[(10, began(0)), (20, began(2)), (90, got(Got::Refused))]), [0; 4]);
+}
+
+#[test]
+fn rule_3_counts_from_when_the_proxy_was_told() {
+    let told = |proxy, ready| Seen::Told { proxy, at_box: 3, ready };
+    let late = Seen::TurnedAway { id: 1, at_box: 3 };
+    let end = (1_400_000, got(Got::Failed));
+    let seen = |proxy, at| broken(0, &[(0, told(proxy, false)), (at, late), end])[2];
+    assert_eq!((seen(0, 1_000_000), seen(0, 1_000_001), seen(1, 1_000_001)), (0, 1, 0));
+    let back = broken(0, &[(0, told(0, false)), (500_000, told(0, true)), (1_200_000, late), end]);
+    assert_eq!(back[2], 0);
+}
+
+#[test]
+fn what_goes_with_a_killed_process_is_excused_and_nothing_else() {
+    let killed = |at, proxy| (at, Seen::Killed { proxy });
+    let day = day(0, &[(10, began(0)), killed(20, 0)]);
+    assert_eq!((day.broken, day.all.excused), ([0; 4], 1));
+    assert_eq!(broken(0, &[(10, began(0)), killed(20, 1)]), [1, 0, 0, 0], "another process");
+    let asked = Seen::Asked { id: 2, class: 0, end: 500_000, proxy: 0 };
+    let served = got(Got::Served);
+    assert_eq!(broken(0, &[(10, began(0)), (15, served), killed(20, 0), (30, asked)])[0], 1, "asked later");
+    // What another process does for it later breaks the rule on effects as ever.
+    assert_eq!(broken(2, &[(10, began(0)), killed(20, 0), (30, began(1))]), [0, 1, 0, 0]);
+}
+
+#[test]
+fn a_stalled_process_has_no_time_until_it_goes_on() {
+    let stalled = (100, Seen::Stalled { proxy: 0, until: 900_000 });
+    let answered = |at| broken(0, &[(10, began(0)), stalled, (at, got(Got::Failed))]);
+    assert_eq!((answered(900_000), answered(900_001)), ([0; 4], [1, 0, 0, 0]));
+    // One that comes while it stands has its whole time from when it goes on.
+    let asked = (300, Seen::Asked { id: 2, class: 0, end: 500_300, proxy: 0 });
+    let second = |at| {
+        let end = (at, Seen::Answered { id: 2, got: Got::Failed });
+        broken(0, &[stalled, asked, (400, got(Got::Failed)), end])[0]
+    };
+    assert_eq!((second(1_400_000), second(1_400_001)), (0, 1));
+    let told = (50, Seen::Told { proxy: 0, at_box: 3, ready: false });
+    let late = Seen::TurnedAway { id: 1, at_box: 3 };
+    let end = (120, got(Got::Failed));
+    let sent = |at| broken(0, &[told, stalled, end, (at, late)])[2];
+    assert_eq!((sent(1_900_000), sent(1_900_001)), (0, 1), "the grace counts from when it goes on");
+}
+
+#[test]
+fn a_process_started_anew_was_told_nothing_and_a_missed_request_earns_nothing() {
+    let told = (0, Seen::Told { proxy: 0, at_box: 3, ready: false });
+    let anew = (1_100_000, Seen::Restarted { proxy: 0 });
+    let late = (1_200_000, Seen::TurnedAway { id: 1, at_box: 3 });
+    let end = (90, got(Got::Failed));
+    assert_eq!((broken(0, &[told, end, anew, late])[2], broken(0, &[told, end, late])[2]), (0, 1));
+    let missed = day(1, &[(10, began(0)), (20, got(Got::Served)), (30, Seen::Missed { class: 1 })]);
+    assert_eq!((missed.all.missed, missed.all.goodput()), (1, 0.5));
+}
+
+#[test]
+fn rule_4_is_a_budget_over_two_seconds() {
+    let flood = |count: u64| {
+        let mut seen = vec![(0, Seen::Started { at_box: 0 })];
+        for n in 0..count {
+            seen.push((n * 1_000, Seen::Asked { id: 10 + n, class: 0, end: 9_000_000, proxy: 0 }));
+            seen.push((n * 1_000, Seen::Began { id: 10 + n, at_box: 0, work: 10_000 }));
+            seen.push((n * 1_000 + 500, Seen::Answered { id: 10 + n, got: Got::Served }));
+        }
+        broken(0, &seen)[3]
+    };
+    // A third of a core for two seconds, three times over: 198 requests of 10 ms, and two for chance.
+    assert_eq!((flood(200), flood(210) > 0), (0, true));
+}
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -8,10 +8,14 @@
 pub mod callers;
 pub mod cost;
 pub mod demo;
+pub mod fleet;
 pub mod http1;
 pub mod judge;
 pub mod matrix;
 pub mod model;
+pub mod plan;
+pub mod reference;
 pub mod script;
 pub mod sockets;
+pub mod spread;
 pub mod virtual_time;
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -1,12 +1,15 @@
 //! The rig's program.
 #![forbid(unsafe_code)]
 
-use clap::{Parser, Subcommand};
+use clap::{Args, Parser, Subcommand};
 use haventrack_rig::callers::{self, Campaign};
 use haventrack_rig::cost::{self, Figures, Load};
+use haventrack_rig::fleet::report;
 use haventrack_rig::script::Script;
 use haventrack_rig::{demo, matrix, virtual_time};
 use std::error::Error;
+use std::fs::{self, File};
+use std::io::Write as _;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -43,6 +46,17 @@
         #[arg(long)]
         seed: Option<u64>,
     },
+    /// Play a day for every seed: over processes, or in virtual time, beside what plain choices make of the same arrivals.
+    Fleet {
+        #[command(flatten)]
+        order: FleetOrder,
+    },
+    /// Print medians with their range over seeds, of rows that `fleet --json` has written.
+    Compare {
+        /// Files of JSON lines.
+        #[arg(required = true)]
+        files: Vec<PathBuf>,
+    },
     /// Play every trouble of connections at several degrees before healthy boxes, and print what it costs.
     Matrix {
         /// How long clients ask in each case, seconds.
@@ -89,6 +103,71 @@
     },
 }
 
+/// What `fleet` plays.
+#[derive(Args)]
+struct FleetOrder {
+    /// The script, TOML.
+    script: PathBuf,
+    /// In virtual time in place of processes.
+    #[arg(long = "virtual")]
+    in_virtual_time: bool,
+    /// The first seed in place of the script's.
+    #[arg(long)]
+    seed: Option<u64>,
+    /// How many seeds, one after another.
+    #[arg(long, default_value_t = 1)]
+    seeds: u64,
+    /// Requests a second as a part of what keeps all boxes busy, in place of the script's; several with commas.
+    #[arg(long, value_delimiter = ',')]
+    load: Vec<f64>,
+    /// Leave out the references.
+    #[arg(long)]
+    no_references: bool,
+    /// Append each row to this file as a JSON line.
+    #[arg(long)]
+    json: Option<PathBuf>,
+}
+
+fn play_fleet(order: &FleetOrder) -> Result<bool, Box<dyn Error>> {
+    let mut out =
+        order.json.as_ref().map(|path| File::options().create(true).append(true).open(path)).transpose()?;
+    let base = read(&order.script, order.seed)?;
+    println!("{}, {} s, from seed {}", base.title, base.seconds, base.seed);
+    println!("{}", report::head());
+    let loads = if order.load.is_empty() {
+        vec![base.traffic.per_s / base.capacity_per_s()]
+    } else {
+        order.load.clone()
+    };
+    let mut clean = true;
+    for (load, seed) in loads.iter().flat_map(|&load| (0..order.seeds).map(move |s| (load, base.seed + s))) {
+        let mut script = base.clone();
+        script.seed = seed;
+        script.traffic.per_s = load * script.capacity_per_s();
+        script.check()?;
+        let mut rows = if order.no_references { Vec::new() } else { report::references(&script) };
+        rows.push(report::in_virtual_time(&script)?);
+        for row in &rows {
+            println!("{}", report::line(row));
+            if let Some(out) = &mut out {
+                writeln!(out, "{}", serde_json::to_string(row)?)?;
+            }
+        }
+        clean &= rows.last().is_some_and(report::Row::is_clean);
+    }
+    Ok(clean)
+}
+
+fn compare(files: &[PathBuf]) -> Result<bool, Box<dyn Error>> {
+    let mut rows = Vec::new();
+    for path in files {
+        let text = fs::read_to_string(path).map_err(|e| format!("cannot read {}: {e}", path.display()))?;
+        rows.extend(report::parse(&text).map_err(|e| format!("{}: {e}", path.display()))?);
+    }
+    print!("{}", report::compare(&rows));
+    Ok(true)
+}
+
 fn read(path: &Path, seed: Option<u64>) -> Result<Script, Box<dyn Error>> {
     let mut script = Script::read(path)?;
     script.seed = seed.unwrap_or(script.seed);
@@ -158,6 +237,8 @@
             Ok(demo::play(&read(&script, seed)?, slack_ms * 1_000)?.is_clean())
         }
         Command::Virtual { script, seed } => play_virtual(&read(&script, seed)?),
+        Command::Fleet { order } => play_fleet(&order),
+        Command::Compare { files } => compare(&files),
         Command::Matrix { seconds, seed, only } => measure_connections(seconds, seed, &only),
         Command::Cost { boxes, clients, requests, turns, proxy } => {
             measure(&Load { boxes, clients, requests, turns, proxy })
--- a/crates/rig/src/sockets/boxes.rs
+++ b/crates/rig/src/sockets/boxes.rs
@@ -53,7 +53,7 @@
     pub(crate) fn start(shared: &Rc<Shared>, index: usize) -> io::Result<Rc<Self>> {
         let (high, low) = (index / 200, index % 200);
         let listener = listen(SocketAddr::from(([127, 0, 10 + high as u8, 1 + low as u8], 0)))?;
-        let model = BoxModel::new(shared.script.box_spec(), shared.now(), None);
+        let model = BoxModel::new(shared.script.box_spec(index), shared.now(), None);
         let stand_in = Rc::new(Self {
             shared: Rc::clone(shared),
             index,
@@ -280,7 +280,8 @@
             return;
         }
         let now = self.shared.now();
-        *self.model.borrow_mut() = Some(BoxModel::new(self.shared.script.box_spec(), now, Some(now)));
+        *self.model.borrow_mut() =
+            Some(BoxModel::new(self.shared.script.box_spec(self.index), now, Some(now)));
         self.started.set(Some(now));
         self.shared.saw(Seen::Started { at_box: self.index });
         self.life.send_modify(|life| *life += 1);
--- /dev/null
+++ b/crates/rig/src/spread.rs
@@ -0,0 +1,302 @@
+//! How evenly boxes were loaded, and how soon service came back after each fault, from what the stand-ins saw. Pure.
+//! Chance alone spreads requests unevenly too: its deviation at so many requests stands beside each figure.
+
+use crate::judge::{Got, Seen};
+use crate::plan::Plan;
+use crate::script::{Script, What, micros};
+use haventrack_decision::api::Micros;
+use rustc_hash::FxHashMap;
+use serde::{Deserialize, Serialize};
+
+/// Length of the windows in which load is compared.
+const WINDOW: Micros = 1_000_000;
+/// Service is back once a window's part in time is this part of what it was before the fault ...
+const BACK: f64 = 0.95;
+/// ... in so many windows in a row.
+const BACK_WINDOWS: usize = 2;
+
+/// Load of the boxes. Each box's load is its requests over what its speed makes its part.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Spread {
+    /// The busiest box over the mean, over the whole day.
+    pub busiest: f64,
+    /// The least busy one.
+    pub least: f64,
+    /// Standard deviation over the mean.
+    pub deviation: f64,
+    /// What chance alone gives at so many requests.
+    pub chance: f64,
+    /// The same two, in windows of a second: means over the windows.
+    pub window_deviation: f64,
+    /// See `window_deviation`.
+    pub window_chance: f64,
+    /// Windows of a second in which a box that was up got nothing.
+    pub idle: u64,
+    /// What chance alone leaves idle, and three of its deviations more.
+    pub idle_chance: f64,
+    /// See `idle_chance`.
+    pub idle_most: f64,
+    /// New connections to boxes for each request.
+    pub connections: f64,
+    /// Attempts that boxes saw for each request.
+    pub attempts: f64,
+    /// Attempts that boxes turned away.
+    pub turned_away: u64,
+    /// Calls to discovery for each request.
+    pub calls: f64,
+    /// Time from the end of each fault until service was back, seconds, by the order of their ends; none: not within
+    /// the day.
+    pub recovery_s: Vec<Option<f64>>,
+}
+
+/// Measures it. `began` is when the day began on the record's clock.
+#[must_use]
+pub fn measure(script: &Script, plan: &Plan, seen: &[(Micros, Seen)], began: Micros) -> Spread {
+    let mut loads = Loads::new(script, began);
+    let mut in_time = InTime::default();
+    let (mut asked, mut connections, mut attempts, mut turned_away, mut calls) =
+        (0_u64, 0_u64, 0_u64, 0_u64, 0_u64);
+    for &(at, what) in seen {
+        match what {
+            Seen::Asked { id, class, .. } => {
+                asked += 1;
+                in_time.asked(at, began, id, script.class[class].aim_ms * 1_000);
+            }
+            Seen::Missed { .. } => in_time.missed(at, began),
+            Seen::Answered { id, got } => in_time.answered(at, id, got),
+            Seen::Began { at_box, .. } => {
+                attempts += 1;
+                loads.add(at, at_box);
+            }
+            Seen::TurnedAway { .. } => (attempts, turned_away) = (attempts + 1, turned_away + 1),
+            Seen::Connected { .. } => connections += 1,
+            Seen::Called { .. } => calls += 1,
+            _ => {}
+        }
+    }
+    let per = |count: u64| count as f64 / (asked as f64).max(1.0);
+    let mut spread = loads.finish(script);
+    (spread.connections, spread.attempts, spread.calls) = (per(connections), per(attempts), per(calls));
+    spread.turned_away = turned_away;
+    let faults = ends_of_faults(script, plan);
+    spread.recovery_s = faults.iter().map(|&(from, to)| in_time.recovery(from, to)).collect();
+    spread
+}
+
+/// Each fault's beginning and end, by their ends; those that a day ends in are none.
+fn ends_of_faults(script: &Script, plan: &Plan) -> Vec<(Micros, Micros)> {
+    let span = |at_s: f64, for_s: f64| (micros(at_s), micros(at_s + for_s));
+    let boxes = script.trouble.iter().map(|t| span(t.at_s, t.for_s));
+    let links = script.link.iter().map(|l| span(l.at_s, l.for_s));
+    let processes = script.process.iter().map(|p| span(p.at_s, p.for_s + p.wave_s * f64::from(p.waves - 1)));
+    let mut all: Vec<_> = boxes.chain(links).chain(processes).collect();
+    all.retain(|&(_, to)| to < micros(script.seconds) && to <= plan.arrivals.last().map_or(0, |a| a.at));
+    all.sort_unstable_by_key(|&(_, to)| to);
+    all
+}
+
+/// Requests that each box began, in all and by window.
+struct Loads {
+    began: Micros,
+    counts: Vec<u64>,
+    windows: Vec<Vec<u32>>,
+}
+
+impl Loads {
+    fn new(script: &Script, began: Micros) -> Self {
+        let windows = (script.seconds.floor() as usize).max(1);
+        let boxes = script.fleet.boxes;
+        Self { began, counts: vec![0; boxes], windows: vec![vec![0; boxes]; windows] }
+    }
+
+    fn add(&mut self, at: Micros, at_box: usize) {
+        self.counts[at_box] += 1;
+        let window = at.saturating_sub(self.began) / WINDOW;
+        if let Some(window) = self.windows.get_mut(window as usize) {
+            window[at_box] += 1;
+        }
+    }
+
+    fn finish(self, script: &Script) -> Spread {
+        let mut out = Spread::default();
+        let all: Vec<usize> = (0..script.fleet.boxes).collect();
+        let day = relative(script, &all, |b| self.counts[b] as f64);
+        (out.busiest, out.least) = (day.max, day.min);
+        (out.deviation, out.chance) = (day.deviation, day.chance);
+        let (mut judged, mut variance) = (0.0, 0.0);
+        for (number, window) in self.windows.iter().enumerate() {
+            let up: Vec<usize> = all.iter().copied().filter(|&b| is_in_service(script, b, number)).collect();
+            let requests: f64 = up.iter().map(|&b| f64::from(window[b])).sum();
+            if up.is_empty() || requests == 0.0 {
+                continue;
+            }
+            let stats = relative(script, &up, |b| f64::from(window[b]));
+            judged += 1.0;
+            out.window_deviation += stats.deviation;
+            out.window_chance += stats.chance;
+            out.idle += up.iter().filter(|&&b| window[b] == 0).count() as u64;
+            let speeds: f64 = up.iter().map(|&b| script.speed(b)).sum();
+            for &b in &up {
+                let idle = (1.0 - script.speed(b) / speeds).powf(requests);
+                out.idle_chance += idle;
+                variance += idle * (1.0 - idle);
+            }
+        }
+        out.window_deviation /= f64::max(judged, 1.0);
+        out.window_chance /= f64::max(judged, 1.0);
+        out.idle_most = out.idle_chance + 3.0 * variance.sqrt();
+        out
+    }
+}
+
+struct Relative {
+    max: f64,
+    min: f64,
+    deviation: f64,
+    chance: f64,
+}
+
+/// Loads of these boxes over what their speeds make their parts.
+fn relative(script: &Script, boxes: &[usize], load: impl Fn(usize) -> f64) -> Relative {
+    let total: f64 = boxes.iter().map(|&b| load(b)).sum();
+    let speeds: f64 = boxes.iter().map(|&b| script.speed(b)).sum();
+    let part = |b: usize| total * script.speed(b) / speeds;
+    let loads = boxes.iter().map(|&b| load(b) / part(b).max(f64::MIN_POSITIVE));
+    let (mut max, mut min, mut squares) = (0.0_f64, f64::MAX, 0.0);
+    for load in loads {
+        (max, min) = (max.max(load), min.min(load));
+        squares += (load - 1.0) * (load - 1.0);
+    }
+    // Of a multinomial draw, each count's variance over its mean squared.
+    let chance = boxes.iter().map(|&b| (1.0 - script.speed(b) / speeds) / part(b).max(f64::MIN_POSITIVE));
+    let count = boxes.len() as f64;
+    let chance = (chance.sum::<f64>() / count).sqrt();
+    Relative { max, min, deviation: (squares / count).sqrt(), chance }
+}
+
+/// Whether a box is meant to get requests in the whole of a window: no trouble that takes it out of service touches
+/// it, nor the time in which news of that are late.
+fn is_in_service(script: &Script, at_box: usize, window: usize) -> bool {
+    let (from, to) = (window as f64, window as f64 + 1.0);
+    let out = |what| matches!(what, What::Crash | What::Drain | What::Hang | What::Pause | What::Spoil);
+    script.trouble.iter().enumerate().all(|(i, trouble)| {
+        let late = 2.0 * script.fleet.news_s + script.fleet.cold_s;
+        let touches = out(trouble.what) && trouble.at_s < to && from < trouble.at_s + trouble.for_s + late;
+        !touches || !script.struck(i).contains(&at_box)
+    })
+}
+
+/// Requests by the window in which they were asked, and how many of them were served in time.
+#[derive(Default)]
+struct InTime {
+    windows: Vec<(u32, u32)>,
+    asked: FxHashMap<u64, (Micros, Micros, usize)>,
+}
+
+impl InTime {
+    fn window(&mut self, at: Micros, began: Micros) -> usize {
+        let window = (at.saturating_sub(began) / WINDOW) as usize;
+        if self.windows.len() <= window {
+            self.windows.resize(window + 1, (0, 0));
+        }
+        self.windows[window].0 += 1;
+        window
+    }
+
+    fn asked(&mut self, at: Micros, began: Micros, id: u64, aim: Micros) {
+        let window = self.window(at, began);
+        self.asked.insert(id, (at, aim, window));
+    }
+
+    fn missed(&mut self, at: Micros, began: Micros) {
+        self.window(at, began);
+    }
+
+    fn answered(&mut self, at: Micros, id: u64, got: Got) {
+        if let Some(&(asked, aim, window)) = self.asked.get(&id)
+            && got == Got::Served
+            && at <= asked + aim
+        {
+            self.windows[window].1 += 1;
+        }
+    }
+
+    fn part(&self, windows: std::ops::Range<usize>) -> Option<f64> {
+        let (asked, served) =
+            self.windows.get(windows)?.iter().fold((0, 0), |sum, w| (sum.0 + w.0, sum.1 + w.1));
+        (asked > 0).then(|| f64::from(served) / f64::from(asked))
+    }
+
+    fn recovery(&self, from: Micros, to: Micros) -> Option<f64> {
+        // A fault at the very beginning has nothing before it.
+        let before = self.part(0..(from / WINDOW) as usize).unwrap_or(1.0);
+        let first = to.div_ceil(WINDOW) as usize;
+        let good = |window: usize| self.part(window..window + 1).is_some_and(|part| part >= before * BACK);
+        let last = self.windows.len().checked_sub(BACK_WINDOWS)?;
+        let back = (first..=last).find(|&w| (w..w + BACK_WINDOWS).all(good))?;
+        Some((back as Micros * WINDOW).saturating_sub(to) as f64 / 1e6)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::path::Path;
+
+    fn script(more: &str) -> Script {
+        let text = format!(
+            "seed = 5\nseconds = 20.0\nfleet = {{ boxes = 4, proxies = 2, zones = 1, cells = 1, cores = 1.0, holds = 8.0, \
+             news_s = 0.0, cold_s = 0.0{more}\n[traffic]\nper_s = 40.0\n[[class]]\nname = \"r\"\neffect = \"safe\"\nshare = 1.0\n\
+             work_ms = [1.0, 2.0]\naim_ms = 500\ndeadline_ms = 1500\nworth = 1.0\n"
+        );
+        Script::parse(&text, Path::new("spread.toml")).expect("a good script")
+    }
+
+    /// 40 requests a second: `to` names the box of each, `served` whether those of a second are.
+    fn play(script: &Script, to: impl Fn(u64) -> usize, served: impl Fn(u64) -> bool) -> Spread {
+        let (mut seen, mut plan) = (Vec::new(), Plan::draw(script));
+        plan.processes.clear();
+        for id in 0..800 {
+            let at = id * 25_000;
+            seen.push((at, Seen::Asked { id, class: 0, end: at + 1_500_000, proxy: 0 }));
+            seen.push((at + 10, Seen::Began { id, at_box: to(id), work: 1_000 }));
+            let got = if served(at / 1_000_000) { Got::Served } else { Got::Refused };
+            seen.push((at + 20, Seen::Answered { id, got }));
+        }
+        measure(script, &plan, &seen, 0)
+    }
+
+    #[test]
+    fn turns_are_even_and_one_box_for_all_is_not() {
+        let script = script("}");
+        let even = play(&script, |id| (id % 4) as usize, |_| true);
+        assert_eq!((even.busiest, even.least, even.deviation, even.idle), (1.0, 1.0, 0.0, 0));
+        assert!((even.chance - (0.75_f64 / 200.0).sqrt()).abs() < 1e-9);
+        let one = play(&script, |_| 2, |_| true);
+        assert_eq!((one.busiest, one.least, one.idle), (4.0, 0.0, 60));
+        assert!(one.idle_most < 1.0, "chance leaves none of 80 box-windows idle at 40 requests each");
+    }
+
+    #[test]
+    fn a_faster_box_is_due_its_speed() {
+        let script = script(", speeds = [2.0, 1.0, 1.0, 1.0] }");
+        let fair = play(&script, |id| [0, 0, 1, 2, 3][(id % 5) as usize], |_| true);
+        assert!((fair.busiest - 1.0).abs() < 1e-9 && (fair.least - 1.0).abs() < 1e-9, "{fair:?}");
+    }
+
+    #[test]
+    fn boxes_out_of_service_are_not_idle_and_recovery_counts_from_the_end() {
+        let trouble = "}\ntrouble = [{ what = \"crash\", at_s = 4.0, for_s = 3.0, part = 0.25 }]";
+        let script = script(trouble);
+        let down = script.struck(0)[0];
+        let others: Vec<usize> = (0..4).filter(|&b| b != down).collect();
+        let to = |id: u64| match id / 40 {
+            4..=6 => others[(id % 3) as usize],
+            _ => (id % 4) as usize,
+        };
+        let soon = play(&script, to, |second| !(4..=8).contains(&second));
+        assert_eq!((soon.idle, soon.recovery_s.as_slice()), (0, [Some(2.0)].as_slice()));
+        let never = play(&script, to, |second| second < 4);
+        assert_eq!(never.recovery_s, [None]);
+    }
+}
--- a/crates/rig/tests/virtual_days.rs
+++ b/crates/rig/tests/virtual_days.rs
@@ -1,6 +1,6 @@
 //! Days in virtual time: the rules hold, and the same seed gives the same day.
 
-use haventrack_rig::script::{Script, What};
+use haventrack_rig::script::{Known, ProcessFault, ProcessWhat, Script, What};
 use haventrack_rig::virtual_time::play;
 use std::path::Path;
 
@@ -74,3 +74,31 @@
         assert!(harm || what == What::DiscoveryDown, "{what:?} did no harm: {rough}\n{calm}");
     }
 }
+
+/// Two hundred proxies, a second long before and after, and one fault of processes.
+fn with_fault(what: ProcessWhat, part: f64, list: Known) -> Script {
+    let mut script = script("spread-200.toml");
+    (script.seconds, script.fleet.news_s) = (6.0, 0.1);
+    script.process = vec![ProcessFault { what, at_s: 2.0, for_s: 1.0, part, waves: 1, wave_s: 0.0, list }];
+    script
+}
+
+#[test]
+fn processes_that_are_killed_stopped_or_told_to_end_come_back_and_no_rule_breaks() {
+    for (what, part, list) in [
+        (ProcessWhat::Kill, 0.7, Known::Old),
+        (ProcessWhat::Kill, 0.7, Known::Nothing),
+        (ProcessWhat::Stall, 0.33, Known::Old),
+        (ProcessWhat::End, 0.1, Known::Old),
+    ] {
+        let script = with_fault(what, part, list);
+        let report = play(&script).expect("it plays");
+        let all = &report.judgement.all;
+        assert!(report.judgement.is_clean(), "{what:?}: {}", report.judgement);
+        let calm = play(&Script { process: Vec::new(), ..script.clone() }).expect("it plays").judgement.all;
+        let harm = calm.goodput() - all.goodput();
+        assert!(harm > 0.0 || what == ProcessWhat::End, "{what:?} does no harm: {harm}");
+        assert_eq!(all.excused + all.missed > 0, what == ProcessWhat::Kill, "{what:?}: {}", report.judgement);
+        assert_eq!(report, play(&script).expect("it plays"), "the same seed, the same day");
+    }
+}
