The process laboratory: hundreds of real processes, killed, stopped, replaced, and links that fail

Need: what breaks a fleet is how many processes behave together while some fail. The rig's proxies were threads of its own.

Change: `haventrack-rig fleet SCRIPT` starts the built program as processes on loopback addresses of their own, under their limits, ready when `readyz` says so, and ends all of them by the kernel's signal at the parent's death (`keep`, no unsafe code). Stand-ins are dealt out among threads (`sockets/board.rs`, `shard.rs`); the judge allows for what links add, for requests nobody read, and counts no message before it was sent.

--- /dev/null
+++ b/crates/rig/src/fleet/day.rs
@@ -0,0 +1,463 @@
+//! A day over processes, from the first one's start to the last one's end.
+
+use super::keep;
+use super::processes::{END_WITHIN, Folder, Place, Process, cpu_s};
+use super::relay::{self, Clock};
+use super::report::{Cost, Row};
+use crate::judge::{Record, Seen, judge};
+use crate::links::Links;
+use crate::plan::{Act, Plan};
+use crate::script::{Between, Known, Script, ScriptError, micros};
+use crate::sockets::{Board, Shard};
+use crate::spread;
+use haventrack_decision::api::Micros;
+use serde_json::{Value, json};
+use std::cell::RefCell;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::{Arc, mpsc};
+use std::thread::JoinHandle;
+use std::time::Duration;
+use thiserror::Error;
+use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::sync::oneshot;
+use tokio::task::LocalSet;
+use tokio::time::sleep;
+
+pub use super::processes::Machine;
+
+/// The most processes of a day.
+const MOST_PROCESSES: usize = 400;
+/// Clients begin so long after all is ready.
+const HEAD_START: Micros = 200_000;
+/// New connections go on coming so long after a process was told to end.
+const TERM_NOTICE: Duration = Duration::from_millis(300);
+/// How long after the last request was asked answers are waited for, beyond the longest deadline.
+const TAIL: Duration = Duration::from_millis(1_500);
+/// A day whose requests were asked later than this (99 of 100) tells of the machine, not of the program.
+const LATE: f64 = 25.0;
+
+/// Why a day could not be played.
+#[derive(Debug, Error)]
+pub enum FleetError {
+    /// The script.
+    #[error("{0}")]
+    Script(#[from] ScriptError),
+    /// A stand-in or a process could not be started.
+    #[error("the laboratory: {0}")]
+    Io(#[from] io::Error),
+    /// A thread of stand-ins ended early.
+    #[error("a thread of stand-ins ended before the day did")]
+    StandIns,
+    /// A process was not ready in time.
+    #[error("proxy {0} was not ready in time; its log ends with: {1}")]
+    NotReady(usize, String),
+    /// A process ended by itself.
+    #[error("proxy {0} ended by itself ({1}); its log ends with: {2}")]
+    Crashed(usize, String, String),
+}
+
+/// What a thread of stand-ins gives when the day is over.
+type Taken = (Record, Vec<u32>);
+
+struct StandIns {
+    agents: Vec<SocketAddr>,
+    lists: Vec<Value>,
+    begin: Vec<oneshot::Sender<Micros>>,
+    threads: Vec<JoinHandle<io::Result<Taken>>>,
+}
+
+/// Plays a day over processes.
+///
+/// # Errors
+/// Where it can't be played, or a process crashes. Broken rules are no error but in the row.
+pub fn play(script: &Script, machine: &Machine) -> Result<Row, FleetError> {
+    script.check()?;
+    if script.fleet.proxies > MOST_PROCESSES {
+        let problem =
+            format!("{} processes, {MOST_PROCESSES} at most; more in virtual time", script.fleet.proxies);
+        return Err(ScriptError::Value("fleet.proxies".into(), problem).into());
+    }
+    keep::all_descriptors()?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    LocalSet::new().block_on(&runtime, day(script, machine))
+}
+
+async fn day(script: &Script, machine: &Machine) -> Result<Row, FleetError> {
+    let (board, news) = Board::new(script.clone(), Plan::draw(script));
+    let clock = Clock::default();
+    let stand_ins = open(&board, news, machine.threads.max(1), &clock)?;
+    let mut director = Director::new(&board, machine, stand_ins.lists.clone())?;
+    for (proxy, &agent) in stand_ins.agents.iter().enumerate() {
+        director.places.push(Place::new(&director.folder, proxy, agent)?);
+    }
+    director.start_all().await?;
+    let began = board.now() + HEAD_START;
+    clock.begin(board.instant(began));
+    // A thread that is gone shows when it is joined.
+    for begin in stand_ins.begin {
+        let _ = begin.send(began);
+    }
+    let own_before = cpu_s(std::process::id()).unwrap_or(0.0);
+    director.record.borrow_mut().add(began, Seen::Begun);
+    let director = Rc::new(RefCell::new(director));
+    direct(&director, &board, began).await;
+    let end = began + micros(script.seconds).max(board.plan.quiet_after());
+    board.sleep_until(end).await;
+    while stand_ins.threads.iter().any(|thread| !thread.is_finished()) {
+        sleep(Duration::from_millis(20)).await;
+    }
+    let rig_cpu_s = cpu_s(std::process::id()).unwrap_or(0.0) - own_before;
+    let left = director.borrow_mut().terminate_all();
+    wait_for_end(left).await;
+    let proxy_cpu_s = director.borrow_mut().cost()?;
+    let (mut record, mut late) = (director.borrow_mut().record.take(), Vec::new());
+    for thread in stand_ins.threads {
+        let (more, lates) = thread.join().map_err(|_| FleetError::StandIns)??;
+        record.append(more);
+        late.extend(lates);
+    }
+    late.sort_unstable();
+    let late_p99_ms = late.get(late.len() * 99 / 100).map_or(0.0, |&us| f64::from(us) / 1e3);
+    let judged = judge(script, &record, machine.slack);
+    judged.words.iter().for_each(|words| eprintln!("{words}"));
+    let spread = spread::measure(script, &board.plan, &record.in_order(), began);
+    let mut row = Row::new(script, "processes", &judged, spread);
+    row.cost = Some(Cost { proxy_cpu_s, rig_cpu_s, late_p99_ms, spoilt: late_p99_ms > LATE });
+    Ok(row)
+}
+
+/// Opens stand-ins on so many threads, and a thread for relays where the script has faults of links.
+fn open(
+    board: &Arc<Board>,
+    news: UnboundedReceiver<usize>,
+    threads: usize,
+    clock: &Clock,
+) -> Result<StandIns, FleetError> {
+    let (told, heard) = mpsc::channel();
+    let (mut begin, mut running, mut agents_wanted, mut news) =
+        (Vec::new(), Vec::new(), Vec::new(), Some(news));
+    for number in 0..threads {
+        let (begins, begun) = oneshot::channel();
+        let (wants_agents, agents_due) = oneshot::channel();
+        let (board, told) = (Arc::clone(board), told.clone());
+        let news = news.take_if(|_| number == 0);
+        begin.push(begins);
+        agents_wanted.push(wants_agents);
+        running.push(std::thread::spawn(move || {
+            let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+            LocalSet::new().block_on(&runtime, async {
+                let mut shard = Shard::open(&board, number, threads)?;
+                let _ = told.send(None);
+                let due: Result<(), _> = agents_due.await;
+                if let (Ok(()), Some(news)) = (due, news) {
+                    shard.open_agents(news).await?;
+                    let agents = shard.agents();
+                    let _ = told.send(Some(agents.iter().map(|a| (a.address, a.list())).unzip()));
+                }
+                drop(told);
+                let Ok(began) = begun.await else { return Ok(Taken::default()) };
+                let asking = shard.begin(began);
+                let _ = asking.await;
+                let longest = board.script.class.iter().map(|c| c.deadline_ms).max().unwrap_or(0);
+                let last = tokio::time::Instant::now() + Duration::from_millis(longest) + TAIL;
+                while shard.open_requests() > 0 && tokio::time::Instant::now() < last {
+                    sleep(Duration::from_millis(20)).await;
+                }
+                // Boxes answer for requests of other threads until the whole day is over.
+                let end = began + micros(board.script.seconds) + longest * 1_000 + TAIL.as_micros() as Micros;
+                board.sleep_until(end).await;
+                Ok(shard.take())
+            })
+        }));
+    }
+    drop(told);
+    for _ in 0..threads {
+        heard.recv().map_err(|_| FleetError::StandIns)?;
+    }
+    let relays = open_relays(board, clock)?;
+    for wanted in agents_wanted {
+        let _ = wanted.send(());
+    }
+    let (agents, lists): (Vec<SocketAddr>, Vec<Value>) =
+        heard.recv().ok().flatten().ok_or(FleetError::StandIns)?;
+    let agents = match relays {
+        Some(relays) => relays.lead_to(&agents),
+        None => agents,
+    };
+    Ok(StandIns { agents, lists, begin, threads: running })
+}
+
+/// The relays of a day, on a thread that ends with the process.
+struct Relays {
+    discovery: Option<(u16, Arc<std::sync::Mutex<Vec<SocketAddr>>>)>,
+}
+
+impl Relays {
+    /// The addresses under which proxies reach their agents.
+    fn lead_to(&self, agents: &[SocketAddr]) -> Vec<SocketAddr> {
+        let Some((port, targets)) = &self.discovery else { return agents.to_vec() };
+        *targets.lock().unwrap_or_else(std::sync::PoisonError::into_inner) = agents.to_vec();
+        let relayed = |proxy| SocketAddr::from((crate::address::at_relay(proxy), *port));
+        (0..agents.len()).map(relayed).collect()
+    }
+}
+
+fn open_relays(board: &Arc<Board>, clock: &Clock) -> Result<Option<Relays>, FleetError> {
+    if board.script.link.is_empty() {
+        return Ok(None);
+    }
+    let (told, heard) = mpsc::channel();
+    let (board, clock) = (Arc::clone(board), clock.clone());
+    std::thread::spawn(move || {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+        let Ok(runtime) = runtime else { return };
+        LocalSet::new().block_on(&runtime, async {
+            let opened = relays(&board, &clock);
+            let went = opened.is_ok();
+            let _ = told.send(opened);
+            if went {
+                // They carry until the day's last connection is gone with the board.
+                while Arc::strong_count(&board) > 1 {
+                    sleep(Duration::from_millis(100)).await;
+                }
+            }
+        });
+    });
+    Ok(Some(heard.recv().map_err(|_| FleetError::StandIns)??))
+}
+
+fn relays(board: &Arc<Board>, clock: &Clock) -> io::Result<Relays> {
+    let (script, links) = (&board.script, Rc::new(Links::new(&board.script)));
+    if script.has_links(Between::Boxes) {
+        let port = |at_box: usize| {
+            let address = board.face(at_box).address();
+            relay::streams(&links, clock, Between::Boxes, at_box, Rc::new(move |_| address))
+        };
+        board.relay_boxes((0..script.fleet.boxes).map(port).collect::<io::Result<Vec<_>>>()?);
+    }
+    let mut discovery = None;
+    if script.has_links(Between::Discovery) {
+        let targets: Arc<std::sync::Mutex<Vec<SocketAddr>>> = Arc::default();
+        let of = Arc::clone(&targets);
+        let target = move |proxy: usize| {
+            of.lock().unwrap_or_else(std::sync::PoisonError::into_inner).get(proxy).copied()
+        };
+        discovery = Some((relay::streams(&links, clock, Between::Discovery, 0, Rc::new(target))?, targets));
+    }
+    if script.has_links(Between::Clients) {
+        let front = Arc::downgrade(board);
+        let target = move |proxy: usize| front.upgrade().and_then(|board| board.entrance(proxy).listens());
+        board.relay_clients(relay::streams(&links, clock, Between::Clients, 0, Rc::new(target))?);
+    }
+    Ok(Relays { discovery })
+}
+
+/// Starts processes, signals them, and keeps account of what it did.
+struct Director {
+    board: Arc<Board>,
+    machine: Machine,
+    places: Vec<Place>,
+    running: Vec<Option<Process>>,
+    /// Processes that were told to end and whose place another one has taken.
+    leaving: Vec<Process>,
+    lists: Vec<Value>,
+    record: RefCell<Record>,
+    crashed: Option<FleetError>,
+    cpu_s: f64,
+    // Last, so that it goes when the processes have.
+    folder: Folder,
+}
+
+impl Director {
+    fn new(board: &Arc<Board>, machine: &Machine, lists: Vec<Value>) -> io::Result<Self> {
+        Ok(Self {
+            board: Arc::clone(board),
+            machine: machine.clone(),
+            places: Vec::new(),
+            running: Vec::new(),
+            leaving: Vec::new(),
+            lists,
+            record: RefCell::default(),
+            crashed: None,
+            cpu_s: 0.0,
+            folder: Folder::new()?,
+        })
+    }
+
+    fn saw(&self, seen: Seen) {
+        self.record.borrow_mut().add(self.board.now(), seen);
+    }
+
+    fn start(&mut self, proxy: usize, list: Known) -> io::Result<Process> {
+        let nothing = json!({"revision": 0, "complete": true, "members": []});
+        let known = if list == Known::Old { &self.lists[proxy] } else { &nothing };
+        self.places[proxy].start(&self.board.script, &self.machine, known)
+    }
+
+    async fn start_all(&mut self) -> Result<(), FleetError> {
+        for proxy in 0..self.places.len() {
+            let process = self.start(proxy, Known::Old)?;
+            self.running.push(Some(process));
+        }
+        for proxy in 0..self.places.len() {
+            let Some(process) = &mut self.running[proxy] else { continue };
+            if !process.is_ready().await {
+                return Err((proxy, &*process).into());
+            }
+            self.board.entrance(proxy).listens_at(self.places[proxy].listen);
+            self.board.entrance(proxy).set_open(true);
+        }
+        Ok(())
+    }
+
+    /// Kills those that still run, and waits for them.
+    fn kill(&mut self, proxy: usize) {
+        self.board.entrance(proxy).is_killed();
+        if let Some(mut process) = self.running[proxy].take() {
+            self.crash(proxy, &mut process);
+            self.cpu_s += process.cpu_s();
+            process.kill();
+        }
+        // Whatever it had taken is gone with it; nobody can ask it any more.
+        self.saw(Seen::Killed { proxy });
+    }
+
+    /// It should run: where it has ended, it has crashed.
+    fn crash(&mut self, proxy: usize, process: &mut Process) {
+        if let Some(status) = process.ended() {
+            let crashed = FleetError::Crashed(proxy, status.to_string(), process.last_words());
+            self.crashed.get_or_insert(crashed);
+        }
+    }
+
+    /// The time after SIGTERM is over.
+    fn reap(&mut self, proxy: usize) {
+        if let Some(mut process) = self.running[proxy].take() {
+            self.ended(proxy, &mut process);
+        }
+    }
+
+    /// A process that was told to end: it has ended well, or is killed, which the judge sees.
+    fn ended(&mut self, proxy: usize, process: &mut Process) {
+        if let Some(status) = process.ended().filter(|status| !status.success()) {
+            let crashed = FleetError::Crashed(proxy, status.to_string(), process.last_words());
+            self.crashed.get_or_insert(crashed);
+        }
+        self.cpu_s += process.cpu_s();
+        process.kill();
+    }
+
+    /// Tells all to end; gives those that were told.
+    fn terminate_all(&mut self) -> Vec<Process> {
+        let mut running = std::mem::take(&mut self.running);
+        for (proxy, process) in running.iter_mut().enumerate() {
+            if let Some(process) = process {
+                self.crash(proxy, process);
+                self.cpu_s += process.cpu_s();
+                process.terminate();
+            }
+        }
+        running.into_iter().flatten().chain(self.leaving.drain(..)).collect()
+    }
+
+    /// The mean processor time of a proxy, where none has crashed.
+    fn cost(&mut self) -> Result<f64, FleetError> {
+        match self.crashed.take() {
+            Some(crashed) => Err(crashed),
+            None => Ok(self.cpu_s / self.places.len().max(1) as f64),
+        }
+    }
+}
+
+/// Those that do not end in time are killed.
+async fn wait_for_end(mut left: Vec<Process>) {
+    let end = tokio::time::Instant::now() + END_WITHIN;
+    while !left.is_empty() && tokio::time::Instant::now() < end {
+        left.retain_mut(|process| process.ended().is_none());
+        sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// Does what the plan says to processes, at its times.
+async fn direct(director: &Rc<RefCell<Director>>, board: &Arc<Board>, began: Micros) {
+    for event in &board.plan.processes {
+        board.sleep_until(began + event.at).await;
+        let proxy = event.proxy;
+        match event.act {
+            Act::Kill => {
+                director.borrow_mut().kill(proxy);
+                let notice = Duration::from_micros(micros(board.script.fleet.front_notice_s));
+                close_later(board, proxy, notice);
+            }
+            Act::Term => {
+                if let Some(process) = &director.borrow().running[proxy] {
+                    process.terminate();
+                }
+                close_later(board, proxy, TERM_NOTICE);
+            }
+            Act::Reap => director.borrow_mut().reap(proxy),
+            Act::Stop(until) => {
+                let mut director = director.borrow_mut();
+                if let Some(process) = &mut director.running[proxy] {
+                    process.stop();
+                    director.saw(Seen::Stalled { proxy, until: began + until });
+                }
+            }
+            Act::Continue => {
+                if let Some(process) = &mut director.borrow_mut().running[proxy] {
+                    process.go_on();
+                }
+            }
+            Act::Start(list) => {
+                let started = director.borrow_mut().start(proxy, list);
+                let Ok(process) = started else { continue };
+                let console = process.console();
+                director.borrow_mut().running[proxy] = Some(process);
+                director.borrow().saw(Seen::Restarted { proxy });
+                let board = Arc::clone(board);
+                tokio::task::spawn_local(async move {
+                    if Process::wait_until_ready(console).await {
+                        board.entrance(proxy).set_open(true);
+                    }
+                });
+            }
+            Act::Replace => {
+                tokio::task::spawn_local(replace(Rc::clone(director), proxy));
+            }
+        }
+    }
+}
+
+/// The front notices after a while that a process is gone, where it still is.
+fn close_later(board: &Arc<Board>, proxy: usize, notice: Duration) {
+    let board = Arc::clone(board);
+    let kills = board.entrance(proxy).kills();
+    let opened = board.entrance(proxy).openings();
+    tokio::task::spawn_local(async move {
+        sleep(notice).await;
+        let entrance = board.entrance(proxy);
+        if entrance.kills() == kills && entrance.openings() == opened {
+            entrance.set_open(false);
+        }
+    });
+}
+
+/// Another process takes the place of one that serves on until it is told to end.
+async fn replace(director: Rc<RefCell<Director>>, proxy: usize) {
+    let started = director.borrow_mut().start(proxy, Known::Old);
+    let Ok(process) = started else { return };
+    let console = process.console();
+    director.borrow_mut().leaving.push(process);
+    if !Process::wait_until_ready(console).await {
+        return;
+    }
+    let mut director = director.borrow_mut();
+    let place = director.leaving.iter().position(|p| p.console() == console);
+    let Some(new) = place.map(|place| director.leaving.swap_remove(place)) else { return };
+    if let Some(old) = director.running[proxy].replace(new) {
+        old.terminate();
+        director.leaving.push(old);
+    }
+}
--- a/crates/rig/src/fleet/mod.rs
+++ b/crates/rig/src/fleet/mod.rs
@@ -1,4 +1,10 @@
 //! The process laboratory: a day with many processes of the program, faults of processes, boxes and links, and what plain
 //! choices make of the same arrivals.
 
+mod day;
+pub mod keep;
+mod processes;
+pub mod relay;
 pub mod report;
+
+pub use day::{FleetError, Machine, play};
--- /dev/null
+++ b/crates/rig/src/fleet/processes.rs
@@ -0,0 +1,233 @@
+//! Processes of the program: started on loopback addresses of their own, asked whether they are ready, signalled, and
+//! ended with the laboratory. They are known by what `spawn` gave, never by a name.
+
+use super::FleetError;
+use crate::address;
+use crate::script::Script;
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
+use serde_json::{Value, json};
+use std::fs::{self, File};
+use std::net::{SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::time::Duration;
+use std::{env, io};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::{Instant, sleep, timeout};
+
+/// How long a process may take to be ready; hundreds start at once on a few cores.
+pub(super) const READY_WITHIN: Duration = Duration::from_secs(30);
+/// How often one is asked, and how long an answer may take.
+const ASK_EVERY: Duration = Duration::from_millis(25);
+const ANSWER_WITHIN: Duration = Duration::from_secs(1);
+/// The longest answer of a console that is read, in bytes.
+const ANSWER_CAP: usize = 512;
+/// How long processes have to end at the day's end before they are killed.
+pub(super) const END_WITHIN: Duration = Duration::from_secs(5);
+/// Clock ticks a second in the kernel's accounts: what Linux shows to programs, whatever its own clock.
+const TICKS: f64 = 100.0;
+
+/// What the laboratory runs, and under which limits.
+#[derive(Clone, Debug)]
+pub struct Machine {
+    /// The program.
+    pub proxy: PathBuf,
+    /// This laboratory's own program, which starts the other one so that it ends with it.
+    pub keeper: PathBuf,
+    /// Memory that a process is told, MB.
+    pub memory_mb: usize,
+    /// Descriptors that a process may have.
+    pub descriptors: u64,
+    /// Threads for the stand-ins.
+    pub threads: usize,
+    /// What the machine may be late by, microseconds.
+    pub slack: u64,
+}
+
+/// The folder of a day: one folder for each process with its configuration, `TMPDIR` and log. Gone with the day.
+pub(super) struct Folder(PathBuf);
+
+impl Folder {
+    pub(super) fn new() -> io::Result<Self> {
+        let number = fastrand::u64(..);
+        let path = env::temp_dir().join(format!("haventrack-fleet-{}-{number:x}", std::process::id()));
+        fs::create_dir_all(&path)?;
+        Ok(Self(path))
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = fs::remove_dir_all(&self.0);
+    }
+}
+
+/// One process.
+pub(super) struct Process {
+    child: Child,
+    console: SocketAddr,
+    log: PathBuf,
+    stopped: bool,
+}
+
+/// A proxy's place: what stays the same over its processes.
+pub(super) struct Place {
+    proxy: usize,
+    pub(super) listen: SocketAddr,
+    discovery: SocketAddr,
+    folder: PathBuf,
+    starts: u64,
+}
+
+/// An address of the process that nobody listens at.
+fn free(proxy: usize) -> io::Result<SocketAddr> {
+    TcpListener::bind((address::of_process(proxy), 0))?.local_addr()
+}
+
+impl Place {
+    pub(super) fn new(folder: &Folder, proxy: usize, discovery: SocketAddr) -> io::Result<Self> {
+        let folder = folder.0.join(format!("p{proxy}"));
+        fs::create_dir_all(folder.join("tmp"))?;
+        Ok(Self { proxy, listen: free(proxy)?, discovery, folder, starts: 0 })
+    }
+
+    /// Starts a process here. Has to be called on a thread that lives as long as the process is to.
+    pub(super) fn start(&mut self, script: &Script, machine: &Machine, known: &Value) -> io::Result<Process> {
+        self.starts += 1;
+        // Nobody listens at the clients' address yet, so that it may be given once more.
+        let mut console = free(self.proxy)?;
+        while console == self.listen {
+            console = free(self.proxy)?;
+        }
+        let seed =
+            script.seed.wrapping_add(self.proxy as u64).wrapping_mul(0x9e37_79b9).wrapping_add(self.starts);
+        let config = json!({"name": format!("p{}", self.proxy), "listen": self.listen.to_string(),
+            "discovery": self.discovery.to_string(), "console": console.to_string(), "seed": format!("{seed:x}"),
+            "limits": {"cores": 1.0, "memory_mb": machine.memory_mb, "sockets": machine.descriptors},
+            "known": known, "settings": script.settings(self.proxy)});
+        let file = self.folder.join(format!("config-{}.json", self.starts));
+        let log = self.folder.join(format!("log-{}", self.starts));
+        fs::write(&file, config.to_string())?;
+        let child = Command::new(&machine.keeper)
+            .arg("keep")
+            .arg(std::process::id().to_string())
+            .arg(machine.descriptors.to_string())
+            .arg(&machine.proxy)
+            .env("EDGE_CONFIG", &file)
+            .env("TMPDIR", self.folder.join("tmp"))
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(File::create(&log)?)
+            .spawn()?;
+        Ok(Process { child, console, log, stopped: false })
+    }
+}
+
+impl Process {
+    /// Asks until the process says that it is ready, or is seen to have ended.
+    pub(super) async fn is_ready(&mut self) -> bool {
+        let console = self.console;
+        let mut ready = std::pin::pin!(Self::wait_until_ready(console));
+        loop {
+            tokio::select! {
+                ready = &mut ready => return ready,
+                () = sleep(ASK_EVERY) => if self.ended().is_some() { return false },
+            }
+        }
+    }
+
+    /// Asks until the process says that it is ready.
+    pub(super) async fn wait_until_ready(console: SocketAddr) -> bool {
+        let end = Instant::now() + READY_WITHIN;
+        while Instant::now() < end {
+            if let Ok(Ok(true)) = timeout(ANSWER_WITHIN, ask(console, "readyz")).await {
+                return true;
+            }
+            sleep(ASK_EVERY).await;
+        }
+        false
+    }
+
+    pub(super) fn console(&self) -> SocketAddr {
+        self.console
+    }
+
+    fn signal(&self, signal: Signal) {
+        if let Ok(pid) = i32::try_from(self.child.id()) {
+            // Gone already: whoever looks for its end will see that. The id is this child's until it is waited for.
+            let _ = kill(Pid::from_raw(pid), signal);
+        }
+    }
+
+    pub(super) fn stop(&mut self) {
+        self.stopped = true;
+        self.signal(Signal::SIGSTOP);
+    }
+
+    pub(super) fn go_on(&mut self) {
+        self.stopped = false;
+        self.signal(Signal::SIGCONT);
+    }
+
+    pub(super) fn terminate(&self) {
+        self.signal(Signal::SIGTERM);
+    }
+
+    /// Kills it; it is gone when this returns.
+    pub(super) fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// How it ended, if it has.
+    pub(super) fn ended(&mut self) -> Option<ExitStatus> {
+        self.child.try_wait().ok().flatten()
+    }
+
+    /// Its processor time so far, seconds.
+    pub(super) fn cpu_s(&self) -> f64 {
+        cpu_s(self.child.id()).unwrap_or(0.0)
+    }
+
+    /// The last lines of its log.
+    pub(super) fn last_words(&self) -> String {
+        let text = fs::read_to_string(&self.log).unwrap_or_default();
+        let lines: Vec<&str> = text.lines().rev().take(3).collect();
+        lines.into_iter().rev().collect::<Vec<_>>().join(" | ")
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        if self.stopped {
+            self.go_on();
+        }
+        self.kill();
+    }
+}
+
+/// Processor time of a process, seconds.
+pub(super) fn cpu_s(id: u32) -> Option<f64> {
+    let text = fs::read_to_string(Path::new("/proc").join(id.to_string()).join("stat")).ok()?;
+    // The name in brackets may hold blanks; user and system time are the twelfth and thirteenth field behind it.
+    let fields: Vec<&str> = text.rsplit_once(')')?.1.split_whitespace().collect();
+    let ticks = |place: usize| fields.get(place).and_then(|field| field.parse::<f64>().ok());
+    Some((ticks(11)? + ticks(12)?) / TICKS)
+}
+
+/// Asks a console; whether it says yes.
+async fn ask(console: SocketAddr, call: &str) -> io::Result<bool> {
+    let mut stream = TcpStream::connect(console).await?;
+    stream.write_all(format!("{call}\n").as_bytes()).await?;
+    let mut answer = Vec::new();
+    (&mut stream).take(ANSWER_CAP as u64).read_to_end(&mut answer).await?;
+    Ok(answer.starts_with(b"SUCCESS"))
+}
+
+impl From<(usize, &Process)> for FleetError {
+    fn from((proxy, process): (usize, &Process)) -> Self {
+        Self::NotReady(proxy, process.last_words())
+    }
+}
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -5,12 +5,14 @@
 //! [`sockets`]; either way [`judge`] tells from what the stand-ins saw whether the four rules held and what the
 //! service was worth.
 
+pub mod address;
 pub mod callers;
 pub mod cost;
 pub mod demo;
 pub mod fleet;
 pub mod http1;
 pub mod judge;
+pub mod links;
 pub mod matrix;
 pub mod model;
 pub mod plan;
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -4,10 +4,11 @@
 use clap::{Args, Parser, Subcommand};
 use haventrack_rig::callers::{self, Campaign};
 use haventrack_rig::cost::{self, Figures, Load};
-use haventrack_rig::fleet::report;
+use haventrack_rig::fleet::{self, Machine, keep, report};
 use haventrack_rig::script::Script;
 use haventrack_rig::{demo, matrix, virtual_time};
 use std::error::Error;
+use std::ffi::OsString;
 use std::fs::{self, File};
 use std::io::Write as _;
 use std::net::SocketAddr;
@@ -95,6 +96,17 @@
         #[arg(long)]
         hold: Option<usize>,
     },
+    /// Become a program that ends with whoever started it, under a limit on descriptors.
+    #[command(hide = true)]
+    Keep {
+        /// The id of the process that starts it.
+        parent: i32,
+        /// Descriptors that it may have.
+        descriptors: u64,
+        /// The program and its arguments.
+        #[arg(required = true, trailing_var_arg = true, allow_hyphen_values = true)]
+        command: Vec<OsString>,
+    },
     /// The minimal pass-through of `cost`, by itself.
     #[command(hide = true)]
     Pass {
@@ -120,6 +132,21 @@
     /// Requests a second as a part of what keeps all boxes busy, in place of the script's; several with commas.
     #[arg(long, value_delimiter = ',')]
     load: Vec<f64>,
+    /// The program.
+    #[arg(long, default_value = "target/release/haventrack-proxy")]
+    proxy: PathBuf,
+    /// Memory that each process is told, MB.
+    #[arg(long, default_value_t = 32)]
+    memory_mb: usize,
+    /// Descriptors that each process may have.
+    #[arg(long, default_value_t = 256)]
+    descriptors: u64,
+    /// Threads for the stand-ins; none given: a third of the cores.
+    #[arg(long)]
+    threads: Option<usize>,
+    /// What this machine may be late by, milliseconds.
+    #[arg(long, default_value_t = 150)]
+    slack_ms: u64,
     /// Leave out the references.
     #[arg(long)]
     no_references: bool,
@@ -132,6 +159,15 @@
     let mut out =
         order.json.as_ref().map(|path| File::options().create(true).append(true).open(path)).transpose()?;
     let base = read(&order.script, order.seed)?;
+    let cores = std::thread::available_parallelism().map_or(2, usize::from);
+    let machine = Machine {
+        proxy: order.proxy.clone(),
+        keeper: std::env::current_exe()?,
+        memory_mb: order.memory_mb,
+        descriptors: order.descriptors,
+        threads: order.threads.unwrap_or(cores.div_ceil(3)),
+        slack: order.slack_ms * 1_000,
+    };
     println!("{}, {} s, from seed {}", base.title, base.seconds, base.seed);
     println!("{}", report::head());
     let loads = if order.load.is_empty() {
@@ -146,7 +182,11 @@
         script.traffic.per_s = load * script.capacity_per_s();
         script.check()?;
         let mut rows = if order.no_references { Vec::new() } else { report::references(&script) };
-        rows.push(report::in_virtual_time(&script)?);
+        rows.push(if order.in_virtual_time {
+            report::in_virtual_time(&script)?
+        } else {
+            fleet::play(&script, &machine)?
+        });
         for row in &rows {
             println!("{}", report::line(row));
             if let Some(out) = &mut out {
@@ -254,6 +294,9 @@
             println!("{played}");
             Ok(played.ended() == campaign.requests as u64 && played.effects.1 == 0)
         }
+        Command::Keep { parent, descriptors, command } => {
+            Err(keep::become_program(parent, descriptors, &command).into())
+        }
         Command::Pass { boxes } => {
             cost::pass_through(&boxes)?;
             Ok(true)
--- a/crates/rig/src/spread.rs
+++ b/crates/rig/src/spread.rs
@@ -47,6 +47,8 @@
     /// Time from the end of each fault until service was back, seconds, by the order of their ends; none: not within
     /// the day.
     pub recovery_s: Vec<Option<f64>>,
+    /// Time from each start of a box until it began its first request, seconds; none: it began none.
+    pub first_use_s: Vec<Option<f64>>,
 }
 
 /// Measures it. `began` is when the day began on the record's clock.
@@ -54,6 +56,7 @@
 pub fn measure(script: &Script, plan: &Plan, seen: &[(Micros, Seen)], began: Micros) -> Spread {
     let mut loads = Loads::new(script, began);
     let mut in_time = InTime::default();
+    let mut starts: Vec<(usize, Micros, Option<f64>)> = Vec::new();
     let (mut asked, mut connections, mut attempts, mut turned_away, mut calls) =
         (0_u64, 0_u64, 0_u64, 0_u64, 0_u64);
     for &(at, what) in seen {
@@ -67,8 +70,13 @@
             Seen::Began { at_box, .. } => {
                 attempts += 1;
                 loads.add(at, at_box);
+                let first = starts.iter_mut().rev().find(|(b, ..)| *b == at_box);
+                if let Some((_, since, used)) = first {
+                    used.get_or_insert((at - *since) as f64 / 1e6);
+                }
             }
             Seen::TurnedAway { .. } => (attempts, turned_away) = (attempts + 1, turned_away + 1),
+            Seen::Started { at_box } => starts.push((at_box, at, None)),
             Seen::Connected { .. } => connections += 1,
             Seen::Called { .. } => calls += 1,
             _ => {}
@@ -78,6 +86,7 @@
     let mut spread = loads.finish(script);
     (spread.connections, spread.attempts, spread.calls) = (per(connections), per(attempts), per(calls));
     spread.turned_away = turned_away;
+    spread.first_use_s = starts.into_iter().map(|(_, _, used)| used).collect();
     let faults = ends_of_faults(script, plan);
     spread.recovery_s = faults.iter().map(|&(from, to)| in_time.recovery(from, to)).collect();
     spread
@@ -277,6 +286,16 @@
         assert!(one.idle_most < 1.0, "chance leaves none of 80 box-windows idle at 40 requests each");
     }
 
+    #[test]
+    fn first_use_counts_from_the_latest_start() {
+        let script = script("}");
+        let began = |id| Seen::Began { id, at_box: 1, work: 10 };
+        let started = Seen::Started { at_box: 1 };
+        let seen = [(0, started), (1_500_000, began(1)), (1_600_000, began(2)), (2_000_000, started)];
+        let measured = measure(&script, &Plan::default(), &seen, 0);
+        assert_eq!(measured.first_use_s, [Some(1.5), None]);
+    }
+
     #[test]
     fn a_faster_box_is_due_its_speed() {
         let script = script(", speeds = [2.0, 1.0, 1.0, 1.0] }");
@@ -296,6 +315,7 @@
         };
         let soon = play(&script, to, |second| !(4..=8).contains(&second));
         assert_eq!((soon.idle, soon.recovery_s.as_slice()), (0, [Some(2.0)].as_slice()));
+        assert_eq!(soon.first_use_s, [], "no box was seen to start");
         let never = play(&script, to, |second| second < 4);
         assert_eq!(never.recovery_s, [None]);
     }
--- /dev/null
+++ b/crates/rig/tests/laboratory.rs
@@ -0,0 +1,214 @@
+//! Days over processes of the program, with faults of processes and links. Verdicts come from what the stand-ins saw:
+//! rules, and counts with room for a slow machine.
+
+use haventrack_rig::fleet::report::Row;
+use haventrack_rig::fleet::{FleetError, Machine, play};
+use haventrack_rig::script::{
+    Between, Known, LinkFault, ProcessFault, ProcessWhat, Script, ScriptError, Trouble, Way, What,
+};
+use std::fs;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::OnceLock;
+use std::thread::sleep;
+use std::time::{Duration, Instant};
+
+const KEEPER: &str = env!("CARGO_BIN_EXE_haventrack-rig");
+/// Microseconds: a machine of two cores that builds something else besides.
+const SLACK: u64 = 1_000_000;
+
+/// The program, built as this test is, so that a test never plays an older one.
+fn program() -> PathBuf {
+    static BUILT: OnceLock<PathBuf> = OnceLock::new();
+    let build = || {
+        let folder = Path::new(KEEPER).parent().expect("programs lie in a folder");
+        let mut cargo = Command::new(env!("CARGO"));
+        cargo.args([
+            "build",
+            "--quiet",
+            "--locked",
+            "--package",
+            "haventrack-program",
+            "--bin",
+            "haventrack-proxy",
+        ]);
+        cargo.arg("--target-dir").arg(folder.parent().expect("a target folder"));
+        if folder.ends_with("release") {
+            cargo.arg("--release");
+        }
+        assert!(cargo.status().expect("cargo runs").success(), "the program builds");
+        folder.join("haventrack-proxy")
+    };
+    BUILT.get_or_init(build).clone()
+}
+
+fn machine() -> Machine {
+    Machine {
+        proxy: program(),
+        keeper: KEEPER.into(),
+        memory_mb: 32,
+        descriptors: 256,
+        threads: 2,
+        slack: SLACK,
+    }
+}
+
+fn script_path() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("scripts/laboratory.toml")
+}
+
+fn script() -> Script {
+    Script::read(&script_path()).expect("a good script")
+}
+
+fn process(what: ProcessWhat, part: f64, for_s: f64) -> ProcessFault {
+    ProcessFault { what, at_s: 1.0, for_s, part, waves: 1, wave_s: 0.0, list: Known::Old }
+}
+
+fn link(between: Between) -> LinkFault {
+    LinkFault {
+        between,
+        at_s: 1.0,
+        for_s: 1.0,
+        part: 1.0,
+        zone: None,
+        way: Way::Both,
+        cut: false,
+        delay_ms: 0.0,
+        spread_ms: 0.0,
+        drop: 0.0,
+        duplicate: 0.0,
+        reorder: 0.0,
+        kbytes_s: 0.0,
+    }
+}
+
+fn played(script: &Script) -> Row {
+    let row = play(script, &machine()).expect("it plays");
+    println!("{}", haventrack_rig::fleet::report::line(&row));
+    assert_eq!(row.broken, [0; 4], "{row:?}");
+    assert!(row.asked > 450, "{} of some 600 requests were asked", row.asked);
+    row
+}
+
+#[test]
+fn a_calm_day_serves_nearly_all_and_every_box() {
+    let row = played(&script());
+    assert!((row.failed, row.missed, row.excused) == (0, 0, 0), "{row:?}");
+    assert!(row.refused * 10 <= row.asked, "{row:?}");
+    assert!(row.spread.least > 0.2 && row.spread.busiest < 2.5, "{:?}", row.spread);
+    let cost = row.cost.expect("processes cost");
+    assert!(cost.proxy_cpu_s > 0.0 && cost.rig_cpu_s > 0.0);
+}
+
+#[test]
+fn seven_in_ten_killed_at_once_come_back_with_an_old_list_while_a_box_drains() {
+    let mut script = script();
+    script.process = vec![process(ProcessWhat::Kill, 0.7, 0.5)];
+    let drain = Trouble { what: What::Drain, at_s: 0.7, for_s: 3.0, part: 0.1, zone: None, degree: 0.0 };
+    script.trouble = vec![drain];
+    let row = played(&script);
+    assert!(row.missed > 0, "the front went on sending for a while: {row:?}");
+    assert!(row.missed + row.excused < row.asked / 4, "{row:?}");
+    assert!(row.in_time > 0.6, "{row:?}");
+}
+
+#[test]
+fn a_third_that_stands_still_for_two_seconds_answers_when_it_goes_on() {
+    let mut script = script();
+    script.process = vec![process(ProcessWhat::Stall, 0.33, 2.0)];
+    let row = played(&script);
+    assert!(row.p99_ms > 600.0 || row.excused + row.refused + row.failed > 0, "the stall shows: {row:?}");
+    assert_eq!(row.missed, 0, "a process that stands is not gone: {row:?}");
+}
+
+#[test]
+fn processes_told_to_end_and_processes_replaced_lose_nothing() {
+    let mut script = script();
+    let ended = ProcessFault { waves: 3, wave_s: 0.3, ..process(ProcessWhat::End, 0.25, 0.5) };
+    let replaced = ProcessFault { waves: 3, wave_s: 0.3, ..process(ProcessWhat::Replace, 0.25, 0.0) };
+    script.process = vec![ended, replaced];
+    let row = played(&script);
+    assert_eq!((row.excused, row.failed), (0, 0), "{row:?}");
+    assert!(row.missed * 20 <= row.asked, "{row:?}");
+}
+
+#[test]
+fn links_that_are_slow_lossy_or_cut_break_no_rule() {
+    let mut script = script();
+    let slow = LinkFault { part: 0.3, delay_ms: 200.0, spread_ms: 50.0, ..link(Between::Boxes) };
+    let lossy = LinkFault { at_s: 2.0, part: 0.3, drop: 0.2, ..link(Between::Boxes) };
+    let cut = LinkFault { part: 0.5, cut: true, ..link(Between::Discovery) };
+    let clients = LinkFault { part: 0.2, at_s: 2.0, for_s: 0.5, cut: true, ..link(Between::Clients) };
+    script.link = vec![slow, lossy, cut, clients];
+    let calm = play(&Script { link: Vec::new(), ..script.clone() }, &machine()).expect("it plays");
+    let row = played(&script);
+    assert!(row.p50_ms > calm.p50_ms || row.p99_ms > calm.p99_ms, "{row:?}\n{calm:?}");
+}
+
+#[test]
+fn a_program_that_never_gets_ready_is_named_with_its_last_words() {
+    let machine = Machine { proxy: "/bin/false".into(), ..machine() };
+    match play(&script(), &machine) {
+        Err(FleetError::NotReady(0, _)) => {}
+        other => panic!("{other:?}"),
+    }
+}
+
+#[test]
+fn more_processes_than_a_machine_bears_are_refused_by_key() {
+    let mut script = script();
+    script.fleet.proxies = 1_000;
+    match play(&script, &machine()) {
+        Err(FleetError::Script(ScriptError::Value(key, _))) => assert_eq!(key, "fleet.proxies"),
+        other => panic!("{other:?}"),
+    }
+}
+
+/// The children of a process.
+fn children(of: u32) -> Vec<u32> {
+    let mut all = Vec::new();
+    for task in fs::read_dir(format!("/proc/{of}/task")).into_iter().flatten().flatten() {
+        let text = fs::read_to_string(task.path().join("children")).unwrap_or_default();
+        all.extend(text.split_whitespace().filter_map(|id| id.parse::<u32>().ok()));
+    }
+    all
+}
+
+/// Whether a process with this id runs the proxy.
+fn runs(id: u32) -> bool {
+    let name = fs::read_to_string(format!("/proc/{id}/comm")).unwrap_or_default();
+    name.starts_with("haventrack-prox")
+}
+
+fn wait_until(what: &str, mut holds: impl FnMut() -> bool) {
+    let end = Instant::now() + Duration::from_secs(30);
+    while !holds() {
+        assert!(Instant::now() < end, "{what}");
+        sleep(Duration::from_millis(20));
+    }
+}
+
+struct Ended(Child);
+
+impl Drop for Ended {
+    fn drop(&mut self) {
+        let _ = (self.0.kill(), self.0.wait());
+    }
+}
+
+#[test]
+fn no_process_outlives_a_laboratory_that_is_killed() {
+    let mut command = Command::new(KEEPER);
+    command.arg("fleet").arg(script_path()).arg("--no-references").arg("--proxy").arg(program());
+    let mut laboratory =
+        Ended(command.stdout(Stdio::null()).stderr(Stdio::null()).spawn().expect("it starts"));
+    let mut processes = Vec::new();
+    wait_until("24 processes run", || {
+        processes = children(laboratory.0.id()).into_iter().filter(|&id| runs(id)).collect();
+        processes.len() == 24
+    });
+    laboratory.0.kill().expect("it is killed");
+    laboratory.0.wait().expect("it ends");
+    wait_until("all of them are gone", || !processes.iter().any(|&id| runs(id)));
+}
