--- a/crates/rig/tests/laboratory.rs
+++ b/crates/rig/tests/laboratory.rs
@@ -200,6 +200,10 @@
 #[test]
 fn no_process_outlives_a_laboratory_that_is_killed() {
     let mut command = Command::new(KEEPER);
+    // What a killed laboratory leaves behind goes with the test.
+    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join("killed-laboratory");
+    fs::create_dir_all(&folder).expect("a folder");
+    command.env("TMPDIR", &folder);
     command.arg("fleet").arg(script_path()).arg("--no-references").arg("--proxy").arg(program());
     let mut laboratory =
         Ended(command.stdout(Stdio::null()).stderr(Stdio::null()).spawn().expect("it starts"));
@@ -211,4 +215,5 @@
     laboratory.0.kill().expect("it is killed");
     laboratory.0.wait().expect("it ends");
     wait_until("all of them are gone", || !processes.iter().any(|&id| runs(id)));
+    fs::remove_dir_all(&folder).expect("only this test uses it");
 }
