--- a/crates/rig/src/fleet/day.rs
+++ b/crates/rig/src/fleet/day.rs
@@ -1,10 +1,10 @@
 //! A day over processes, from the first one's start to the last one's end.
 
 use super::keep;
-use super::processes::{END_WITHIN, Folder, Place, Process, cpu_s};
+use super::processes::{END_WITHIN, Folder, Machine, Place, Process, cpu_s};
 use super::relay::{self, Clock};
 use super::report::{Cost, Row};
-use crate::judge::{Record, Seen, judge};
+use crate::judge::{Record, Seen, judge_in_order};
 use crate::links::Links;
 use crate::plan::{Act, Plan};
 use crate::script::{Between, Known, Script, ScriptError, micros};
@@ -16,7 +16,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::sync::{Arc, mpsc};
+use std::sync::{Arc, OnceLock, mpsc};
 use std::thread::JoinHandle;
 use std::time::Duration;
 use thiserror::Error;
@@ -25,8 +25,6 @@
 use tokio::task::LocalSet;
 use tokio::time::sleep;
 
-pub use super::processes::Machine;
-
 /// The most processes of a day.
 const MOST_PROCESSES: usize = 400;
 /// Clients begin so long after all is ready.
@@ -34,7 +32,7 @@
 /// New connections go on coming so long after a process was told to end.
 const TERM_NOTICE: Duration = Duration::from_millis(300);
 /// How long after the last request was asked answers are waited for, beyond the longest deadline.
-const TAIL: Duration = Duration::from_millis(1_500);
+const TAIL: Micros = 1_500_000;
 /// A day whose requests were asked later than this (99 of 100) tells of the machine, not of the program.
 const LATE: f64 = 25.0;
 
@@ -120,9 +118,10 @@
     }
     late.sort_unstable();
     let late_p99_ms = late.get(late.len() * 99 / 100).map_or(0.0, |&us| f64::from(us) / 1e3);
-    let judged = judge(script, &record, machine.slack);
+    let seen = record.in_order();
+    let judged = judge_in_order(script, &seen, machine.slack);
     judged.words.iter().for_each(|words| eprintln!("{words}"));
-    let spread = spread::measure(script, &board.plan, &record.in_order(), began);
+    let spread = spread::measure(script, &board.plan, &seen, began);
     let mut row = Row::new(script, "processes", &judged, spread);
     row.cost = Some(Cost { proxy_cpu_s, rig_cpu_s, late_p99_ms, spoilt: late_p99_ms > LATE });
     Ok(row)
@@ -160,14 +159,9 @@
                 let Ok(began) = begun.await else { return Ok(Taken::default()) };
                 let asking = shard.begin(began);
                 let _ = asking.await;
-                let longest = board.script.class.iter().map(|c| c.deadline_ms).max().unwrap_or(0);
-                let last = tokio::time::Instant::now() + Duration::from_millis(longest) + TAIL;
-                while shard.open_requests() > 0 && tokio::time::Instant::now() < last {
-                    sleep(Duration::from_millis(20)).await;
-                }
                 // Boxes answer for requests of other threads until the whole day is over.
-                let end = began + micros(board.script.seconds) + longest * 1_000 + TAIL.as_micros() as Micros;
-                board.sleep_until(end).await;
+                let asked = board.now().max(began + micros(board.script.seconds));
+                board.sleep_until(asked + board.script.longest_deadline() + TAIL).await;
                 Ok(shard.take())
             })
         }));
@@ -191,14 +185,14 @@
 
 /// The relays of a day, on a thread that ends with the process.
 struct Relays {
-    discovery: Option<(u16, Arc<std::sync::Mutex<Vec<SocketAddr>>>)>,
+    discovery: Option<(u16, Arc<OnceLock<Vec<SocketAddr>>>)>,
 }
 
 impl Relays {
     /// The addresses under which proxies reach their agents.
     fn lead_to(&self, agents: &[SocketAddr]) -> Vec<SocketAddr> {
         let Some((port, targets)) = &self.discovery else { return agents.to_vec() };
-        *targets.lock().unwrap_or_else(std::sync::PoisonError::into_inner) = agents.to_vec();
+        let _ = targets.set(agents.to_vec());
         let relayed = |proxy| SocketAddr::from((crate::address::at_relay(proxy), *port));
         (0..agents.len()).map(relayed).collect()
     }
@@ -239,11 +233,9 @@
     }
     let mut discovery = None;
     if script.has_links(Between::Discovery) {
-        let targets: Arc<std::sync::Mutex<Vec<SocketAddr>>> = Arc::default();
+        let targets: Arc<OnceLock<Vec<SocketAddr>>> = Arc::default();
         let of = Arc::clone(&targets);
-        let target = move |proxy: usize| {
-            of.lock().unwrap_or_else(std::sync::PoisonError::into_inner).get(proxy).copied()
-        };
+        let target = move |proxy: usize| of.get().and_then(|agents| agents.get(proxy).copied());
         discovery = Some((relay::streams(&links, clock, Between::Discovery, 0, Rc::new(target))?, targets));
     }
     if script.has_links(Between::Clients) {
--- a/crates/rig/src/fleet/mod.rs
+++ b/crates/rig/src/fleet/mod.rs
@@ -7,4 +7,5 @@
 pub mod relay;
 pub mod report;
 
-pub use day::{FleetError, Machine, play};
+pub use day::{FleetError, play};
+pub use processes::Machine;
--- a/crates/rig/src/fleet/report.rs
+++ b/crates/rig/src/fleet/report.rs
@@ -1,6 +1,6 @@
 //! Results as rows: one JSON line each, a table for people, medians over seeds. Pure.
 
-use crate::judge::Judgement;
+use crate::judge::{Judgement, judge_in_order};
 use crate::plan::Plan;
 use crate::reference::{self, Policy};
 use crate::script::Script;
@@ -110,9 +110,9 @@
 pub fn references(script: &Script) -> Vec<Row> {
     let plan = Plan::draw(script);
     let row = |policy: Policy| {
-        let record = reference::play(script, &plan, policy);
-        let judged = crate::judge::judge(script, &record, 0);
-        let spread = spread::measure(script, &plan, &record.in_order(), reference::START);
+        let seen = reference::play(script, &plan, policy).in_order();
+        let judged = judge_in_order(script, &seen, 0);
+        let spread = spread::measure(script, &plan, &seen, reference::START);
         let way = serde_json::to_value(policy).ok().and_then(|v| v.as_str().map(str::to_owned));
         Row::new(script, &way.unwrap_or_default(), &judged, spread)
     };
--- a/crates/rig/src/judge.rs
+++ b/crates/rig/src/judge.rs
@@ -284,8 +284,14 @@
 /// Judges a day. `slack` is what the machine may be late by: 0 in virtual time.
 #[must_use]
 pub fn judge(script: &Script, record: &Record, slack: Micros) -> Judgement {
+    judge_in_order(script, &record.in_order(), slack)
+}
+
+/// The same of what is in the order of time already.
+#[must_use]
+pub fn judge_in_order(script: &Script, seen: &[(Micros, Seen)], slack: Micros) -> Judgement {
     let mut day = Day::new(script, slack);
-    for (at, seen) in record.in_order() {
+    for &(at, seen) in seen {
         day.see(at, seen);
     }
     day.finish()
--- a/crates/rig/src/links.rs
+++ b/crates/rig/src/links.rs
@@ -1,7 +1,7 @@
 //! What becomes of a message on a link, by script. Pure: told who sends what to whom and when, it says when that arrives,
 //! if at all. The seed fixes what is hit: the n-th message of a link has the same fate in each run.
 
-use crate::script::{Between, LinkFault, Script, Way, micros};
+use crate::script::{Between, LinkFault, Script, Way, micros, zone_of};
 use haventrack_decision::api::Micros;
 
 /// A segment that was lost over TCP comes again after this, twice as long each time, up to so many times.
@@ -81,7 +81,7 @@
     /// Whether a rule is in force on a link and way at this time.
     fn holds(&self, number: usize, link: Link, way: Way, now: Micros) -> bool {
         let Rule { fault, from, to } = &self.rules[number];
-        let zone = |proxy: usize| (proxy % usize::from(self.zones)) as u16;
+        let zone = |proxy: usize| zone_of(proxy, self.zones);
         let in_zone = fault.zone.is_none_or(|z| {
             // Among proxies a zone is hit where its links lead outside.
             let (a, b) = (zone(link.proxy) == z, link.between == Between::Proxies && zone(link.peer) == z);
--- a/crates/rig/src/plan.rs
+++ b/crates/rig/src/plan.rs
@@ -151,7 +151,7 @@
 }
 
 fn process_events(script: &Script) -> Vec<ProcessEvent> {
-    let deadline = script.class.iter().map(|c| c.deadline_ms * 1_000).max().unwrap_or(0);
+    let deadline = script.longest_deadline();
     let mut events = Vec::new();
     for (index, fault) in script.process.iter().enumerate() {
         let struck = script.struck_proxies(index);
--- a/crates/rig/src/script.rs
+++ b/crates/rig/src/script.rs
@@ -284,6 +284,11 @@
     (seconds * 1e6) as Micros
 }
 
+/// The zone of a box or of a proxy: they are dealt out in turn.
+pub(crate) fn zone_of(index: usize, zones: u16) -> u16 {
+    (index % usize::from(zones)) as u16
+}
+
 impl Script {
     /// Reads a script.
     ///
@@ -344,6 +349,12 @@
         cores * 1e3 / self.mean_work_ms()
     }
 
+    /// The longest time that a client waits.
+    #[must_use]
+    pub fn longest_deadline(&self) -> Micros {
+        self.class.iter().map(|c| c.deadline_ms * 1_000).max().unwrap_or(0)
+    }
+
     /// The speed of a box's cores beside the usual one.
     #[must_use]
     pub fn speed(&self, at_box: usize) -> f64 {
@@ -366,7 +377,7 @@
     /// The zone of a box or of a proxy.
     #[must_use]
     pub fn zone(&self, index: usize) -> u16 {
-        (index % usize::from(self.fleet.zones)) as u16
+        zone_of(index, self.fleet.zones)
     }
 
     /// The cell of a box, numbered through the whole fleet.
--- a/crates/rig/src/virtual_time.rs
+++ b/crates/rig/src/virtual_time.rs
@@ -4,7 +4,7 @@
 mod boxes;
 mod processes;
 
-use crate::judge::{Got, Judgement, Record, Seen, judge};
+use crate::judge::{Got, Judgement, Record, Seen, judge_in_order};
 use crate::model::BoxModel;
 use crate::plan::Plan;
 use crate::script::{Script, micros};
@@ -164,9 +164,10 @@
         world.happen(event);
     }
     let (counts, leases) = std::mem::take(&mut world.past);
+    let seen = world.record.in_order();
     let mut report = Report {
-        judgement: judge(script, &world.record, 0),
-        spread: spread::measure(script, &plan, &world.record.in_order(), START),
+        judgement: judge_in_order(script, &seen, 0),
+        spread: spread::measure(script, &plan, &seen, START),
         counts,
         leases,
         left_open: 0,
