Files are written off the thread that serves: a slow disk held up all requests

Ruled out: ports (the same before and after they are held), loopback (no retransmission, no overflow of a listener in the kernel's counts), processor (0.09 s a proxy in 6 s). The kernel's pressure file showed 34 % of the time in I/O, all of it in full: a small file that is renamed over another took 83 ms in the median (0.3 ms in memory).

Both write on a thread of their own now (two at most, small stacks).

The end of the process waits for no disk.

Test: files that nobody opens (a disk that never answers) under both writes; requests, `readyz` and SIGTERM go on, `exclude` fails in time. Before, the first request never got its answer.

--- a/crates/operations/src/snapshot.rs
+++ b/crates/operations/src/snapshot.rs
@@ -9,6 +9,7 @@
 use std::io::{self, Read, Write};
 use std::path::{Path, PathBuf};
 use thiserror::Error;
+use tokio::task::spawn_blocking;
 
 /// The form of the file. Another one is not read.
 const VERSION: u32 = 1;
@@ -110,19 +111,24 @@
         Self(folder.join(format!("haventrack-{}.learnt.json", file_name(name))))
     }
 
-    /// Writes what was learnt until now.
+    /// Writes what was learnt until now, on a thread that may wait for the disk: to rename over a file can take as long
+    /// as to write it there.
     ///
     /// # Errors
     /// Where that fails; the one before stays.
-    pub fn write(&self, now: Micros, learnt: Learnt) -> Result<(), SnapshotError> {
+    pub async fn write(&self, now: Micros, learnt: Learnt) -> Result<(), SnapshotError> {
         let text = serde_json::to_vec(&Kept { version: VERSION, at: now, learnt })?;
         if text.len() > FILE_CAP {
             return Err(SnapshotError::TooLarge);
         }
+        let path = self.0.clone();
         // Two processes may write at once.
-        let new = self.0.with_extension(format!("new-{}", std::process::id()));
-        File::create(&new)?.write_all(&text)?;
-        Ok(fs::rename(&new, &self.0)?)
+        let new = path.with_extension(format!("new-{}", std::process::id()));
+        let write = move || {
+            File::create(&new)?.write_all(&text)?;
+            fs::rename(&new, &path)
+        };
+        Ok(spawn_blocking(write).await.map_err(io::Error::other)??)
     }
 
     /// What another process has learnt.
--- a/crates/operations/src/store.rs
+++ b/crates/operations/src/store.rs
@@ -11,7 +11,8 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 use thiserror::Error;
-use tokio::time::sleep;
+use tokio::task::spawn_blocking;
+use tokio::time::{sleep, timeout};
 
 /// The form of the file. Another one is not read.
 const VERSION: u32 = 1;
@@ -20,6 +21,8 @@
 /// How long the lock is waited for: its holder writes a small file. The caller's second has to hold that and the answer.
 const LOCK_TRIES: u32 = 60;
 const LOCK_STEP: Duration = Duration::from_millis(5);
+/// How long a disk may take for a change, so that the caller is answered in its second also where the lock was waited for.
+const WRITE_WITHIN: Duration = Duration::from_millis(550);
 
 /// Why bans could not be read or kept.
 #[derive(Debug, Error)]
@@ -33,6 +36,9 @@
     /// Another process holds the lock.
     #[error("{0} is held by another process")]
     Busy(PathBuf),
+    /// The disk takes too long. What it was given stays given.
+    #[error("{0} was not written within {ms} ms; the change may hold yet", ms = WRITE_WITHIN.as_millis())]
+    Slow(PathBuf),
     /// The bound on bans.
     #[error(transparent)]
     TooMany(#[from] TooMany),
@@ -108,15 +114,17 @@
     /// Makes a change and keeps it. `held` is what the caller holds, which counts where the file is damaged; that one is
     /// set aside, and `damaged` is told. Gives what holds now.
     ///
+    /// The disk is waited for on another thread, which holds the lock until it has done with the change.
+    ///
     /// # Errors
-    /// Where it can't be kept; then the change has not been made.
+    /// Where it can't be kept; then the change has not been made, but for [`StoreError::Slow`]: it is made late, or never.
     pub async fn change<R>(
         &self,
         held: &Bans,
         change: impl FnOnce(&mut Bans) -> Result<R, TooMany>,
         damaged: impl FnOnce(StoreError),
     ) -> Result<(Bans, R), StoreError> {
-        let _lock = self.locked().await?;
+        let lock = self.locked().await?;
         let mut bans = match self.load() {
             Ok(bans) => bans,
             Err(error @ StoreError::Damaged(..)) => {
@@ -127,8 +135,19 @@
             Err(error) => return Err(error),
         };
         let result = change(&mut bans)?;
-        self.write(&bans).map_err(|e| self.io(e))?;
-        Ok((bans, result))
+        let text = serde_json::to_vec(&Kept { version: VERSION, bans: bans.clone() });
+        let text = text.map_err(|e| self.io(e.into()))?;
+        let path = self.path.clone();
+        let writing = spawn_blocking(move || {
+            let written = write(&path, &text);
+            drop(lock);
+            written
+        });
+        match timeout(WRITE_WITHIN, writing).await {
+            Err(_) => Err(StoreError::Slow(self.path.clone())),
+            Ok(Err(panicked)) => Err(self.io(io::Error::other(panicked))),
+            Ok(Ok(written)) => written.map_err(|e| self.io(e)).map(|()| (bans, result)),
+        }
     }
 
     /// Keeps a damaged file for whoever looks into it, out of the way.
@@ -136,15 +155,6 @@
         fs::rename(&self.path, self.path.with_extension("damaged"))
     }
 
-    fn write(&self, bans: &Bans) -> io::Result<()> {
-        let text = serde_json::to_vec(&Kept { version: VERSION, bans: bans.clone() })?;
-        let new = self.path.with_extension("new");
-        let mut file = File::create(&new)?;
-        file.write_all(&text)?;
-        file.sync_data()?;
-        fs::rename(&new, &self.path)
-    }
-
     async fn locked(&self) -> Result<File, StoreError> {
         let file = OpenOptions::new().create(true).truncate(false).write(true).open(&self.lock);
         let file = file.map_err(|e| StoreError::Io(self.lock.clone(), e))?;
@@ -163,5 +173,14 @@
     }
 }
 
+/// Replaces a file whole, durably.
+fn write(path: &Path, text: &[u8]) -> io::Result<()> {
+    let new = path.with_extension("new");
+    let mut file = File::create(&new)?;
+    file.write_all(text)?;
+    file.sync_data()?;
+    fs::rename(&new, path)
+}
+
 /// How long a call back is remembered: longer than any backend takes to warm up, with what lists are late.
 pub const REMEMBERED: Micros = 120_000_000;
--- a/crates/program/src/main.rs
+++ b/crates/program/src/main.rs
@@ -52,9 +52,16 @@
     }
 }
 
+/// Threads that may wait for a disk, so that serving does not: one keeps what was learnt, and bans are kept one at a time.
+const DISK_THREADS: usize = 2;
+/// Their stacks, bytes: they write a file.
+const DISK_STACK: usize = 128 << 10;
+
 fn serve(extproc: Option<&Path>) -> Result<(), Box<dyn Error>> {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    LocalSet::new().block_on(&runtime, async {
+    let mut builder = tokio::runtime::Builder::new_current_thread();
+    builder.max_blocking_threads(DISK_THREADS).thread_stack_size(DISK_STACK);
+    let runtime = builder.enable_all().build()?;
+    let served = LocalSet::new().block_on(&runtime, async {
         let Signals { mut stop, reload } = Signals::install()?;
         let stop = async move {
             stop.recv().await;
@@ -63,7 +70,10 @@
         let fronts = Fronts { http: Config::from_env()?, extproc };
         program::serve(fronts, stop, Some(reload), |_, _| ()).await?;
         Ok(())
-    })
+    });
+    // A disk that does not answer keeps nobody from ending.
+    runtime.shutdown_background();
+    served
 }
 
 fn check(path: &Path, extproc: Option<&Path>) -> Result<(), Box<dyn Error>> {
--- a/crates/program/src/staff.rs
+++ b/crates/program/src/staff.rs
@@ -1,7 +1,7 @@
 //! What the staff on call asks of this process, and what it has to know of the others of its proxy: bans kept and followed,
 //! new connections steered, limits shared. The decisions are in `haventrack_operations` and `haventrack_proxy::roster`.
 
-use haventrack_decision::api::{LearntLimit, Memory};
+use haventrack_decision::api::{LearntLimit, Memory, Micros};
 use haventrack_engine::shell::clock::Clock;
 use haventrack_operations::bans::{Bans, TooMany};
 use haventrack_operations::call::{Answer, Call};
@@ -43,7 +43,9 @@
     /// Which state of the store was read last.
     seen: Cell<Option<Stamp>>,
     seat: Seat,
-    snapshot: Snapshot,
+    snapshot: Rc<Snapshot>,
+    /// Whether a snapshot is being written. The disk may take its time: nothing waits for it, and only one is under way.
+    keeping: Rc<Cell<bool>>,
 }
 
 impl Files {
@@ -61,8 +63,23 @@
         if bans.out().len() > 0 {
             log(format_args!("out of service: {}", bans.out().collect::<Vec<_>>().join(" ")));
         }
-        let (seat, snapshot) = (Seat::take(folder, name)?, Snapshot::new(folder, name));
-        Ok((Self { store, seen, seat, snapshot }, bans))
+        let (seat, snapshot) = (Seat::take(folder, name)?, Rc::new(Snapshot::new(folder, name)));
+        Ok((Self { store, seen, seat, snapshot, keeping: Rc::default() }, bans))
+    }
+
+    /// Has what was learnt kept, unless the one before is still being written.
+    fn keep(&self, now: Micros, memory: impl FnOnce() -> Memory) {
+        if self.keeping.replace(true) {
+            return;
+        }
+        let (snapshot, keeping) = (Rc::clone(&self.snapshot), Rc::clone(&self.keeping));
+        let learnt = to_keep(memory());
+        tokio::task::spawn_local(async move {
+            if let Err(error) = snapshot.write(now, learnt).await {
+                log(format_args!("what was learnt is not kept: {error}"));
+            }
+            keeping.set(false);
+        });
     }
 }
 
@@ -173,10 +190,7 @@
             self.look_round();
             looks += 1;
             if looks.is_multiple_of(KEEP_EVERY) && self.stand.borrow().is_ready() {
-                let kept = self.files.snapshot.write(self.clock.now(), to_keep(self.handle.memory()));
-                if let Err(error) = kept {
-                    log(format_args!("what was learnt is not kept: {error}"));
-                }
+                self.files.keep(self.clock.now(), || self.handle.memory());
             }
             let stamp = self.files.store.stamp();
             if self.files.seen.replace(stamp) == stamp {
--- a/crates/program/tests/day/main.rs
+++ b/crates/program/tests/day/main.rs
@@ -7,7 +7,8 @@
 use serde_json::{Value, json};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
+use std::process::Command;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::{fs, thread};
@@ -489,3 +490,55 @@
     assert!(proxy.rest_of_log().contains("accept: "), "the shortage was there");
     assert!(proxy.wait().success());
 }
+
+/// A file that nobody opens to the end: whoever writes it waits, as for a disk that does not answer.
+fn stuck_disk(folder: &Path, file: &str) {
+    let made = Command::new("mkfifo").arg(folder.join(file)).status();
+    assert!(made.expect("mkfifo runs").success());
+}
+
+/// Threads of a process that wait in `openat`, the call that such a file holds up.
+fn opening(process: u32) -> usize {
+    let call = |task: fs::DirEntry| fs::read_to_string(task.path().join("syscall")).unwrap_or_default();
+    let tasks = fs::read_dir(format!("/proc/{process}/task")).expect("it runs").flatten();
+    tasks.map(call).filter(|call| call.starts_with(OPENAT)).count()
+}
+
+/// The number of `openat` as the kernel shows it.
+#[cfg(target_arch = "x86_64")]
+const OPENAT: &str = "257 ";
+#[cfg(not(target_arch = "x86_64"))]
+const OPENAT: &str = "56 ";
+
+#[test]
+fn a_disk_that_does_not_answer_holds_up_neither_requests_nor_the_end() {
+    let folder = folder("disk");
+    let discovery = Discovery::start();
+    let (a, b) = backends();
+    let (mut proxy, console) = Proxy::start_in(&folder, "disk", &with_console(&discovery, None));
+    stuck_disk(&folder, &format!("haventrack-n7.learnt.new-{}", proxy.child.id()));
+    stuck_disk(&folder, "haventrack-n7.bans.new");
+    discovery.post(true, &list(&a, &b));
+    wait_until(console, "readyz\n", "SUCCESS");
+    let mut client = proxy.client();
+    // What was learnt is kept each second.
+    let mut asked = 0;
+    while opening(proxy.child.id()) < 1 {
+        asked += 1;
+        served(&mut client, &format!("before-{asked}"), 1);
+    }
+    assert_eq!(served(&mut client, "kept", 20).len(), 20);
+    let answer = call(console, "exclude s-a\n");
+    assert!(
+        answer.starts_with("FAILURE s-a is not taken out") && answer.contains("was not written"),
+        "{answer}"
+    );
+    assert_eq!(opening(proxy.child.id()), 2, "both threads wait");
+    assert!(call(console, "exclude s-a\n").contains("held by another process"));
+    assert!(call(console, "readyz\n").starts_with("SUCCESS"));
+    assert_eq!(served(&mut client, "not-banned", 20).len(), 20);
+    assert!(!folder.join("haventrack-n7.bans.json").exists(), "nothing was taken out");
+    drop(client);
+    proxy.terminate();
+    assert!(proxy.wait().success());
+}
