Laboratory: ports are held before their processes start, exit codes all looked at

The same held for the port of a dead box.

The test holds 400 ports and asks for 400 on all addresses; without the hold it fails.

--- a/crates/rig/src/address.rs
+++ b/crates/rig/src/address.rs
@@ -1,7 +1,10 @@
 //! Loopback addresses of the laboratory: each process has one of its own, and one under which relays know it, so that
-//! whoever is at the other end of a connection or datagram is told by its address.
+//! whoever is at the other end of a connection or datagram is told by its address. Ports are held before anybody listens
+//! at them, and while nobody does.
 
-use std::net::Ipv4Addr;
+use socket2::{Domain, Socket, Type};
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr};
 
 /// Second octet from which processes have their addresses, and from which relays stand for them.
 const PROCESSES: u8 = 32;
@@ -44,9 +47,60 @@
     number(RELAYS, address)
 }
 
+/// An address that is kept for whoever is to listen there: a process that is not started yet, a box that is dead. A
+/// socket that is bound and does not listen keeps the kernel from giving the port to another one that asks for any, be
+/// it a connection, a relay on all addresses or another laboratory; those that ask for this address and set
+/// `SO_REUSEADDR`, as servers do, get it all the same.
+#[derive(Debug)]
+pub struct Held {
+    address: SocketAddr,
+    _socket: Socket,
+}
+
+impl Held {
+    /// Any port of an address.
+    ///
+    /// # Errors
+    /// Where the kernel gives none.
+    pub fn new(ip: Ipv4Addr) -> io::Result<Self> {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
+        socket.set_reuse_address(true)?;
+        socket.bind(&SocketAddr::from((ip, 0)).into())?;
+        let address = socket.local_addr()?.as_socket().ok_or(io::ErrorKind::AddrNotAvailable)?;
+        Ok(Self { address, _socket: socket })
+    }
+
+    /// The address.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
+    use std::net::TcpListener;
+
+    #[test]
+    fn whoever_asks_for_any_port_is_not_given_one_that_is_held() {
+        // So many that a kernel that did not mind would give some of 28,000 ports twice, almost surely.
+        let ip = of_process(MOST - 2);
+        let held: Vec<Held> = (0..400).map(|_| Held::new(ip).expect("a port")).collect();
+        let taken: std::collections::HashSet<u16> = held.iter().map(|held| held.address().port()).collect();
+        assert_eq!(taken.len(), held.len());
+        for _ in 0..400 {
+            let anywhere = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+            anywhere.bind(&SocketAddr::from((Ipv4Addr::UNSPECIFIED, 0)).into()).expect("a port");
+            let port = anywhere.local_addr().expect("bound").as_socket().expect("IPv4").port();
+            assert!(!taken.contains(&port), "a relay was given {port}");
+        }
+        // The program can listen there, once.
+        let listener = TcpListener::bind(held[0].address()).expect("it is for whoever asks for it");
+        assert!(TcpListener::bind(held[0].address()).is_err());
+        drop(listener);
+        assert!(TcpListener::bind(held[0].address()).is_ok(), "and again, after a restart");
+    }
 
     #[test]
     fn every_process_has_two_addresses_that_name_it_and_nobody_else() {
--- a/crates/rig/src/fleet/day.rs
+++ b/crates/rig/src/fleet/day.rs
@@ -108,7 +108,8 @@
     }
     let rig_cpu_s = cpu_s(std::process::id()).unwrap_or(0.0) - own_before;
     let left = director.borrow_mut().terminate_all();
-    wait_for_end(left).await;
+    let left = wait_for_end(left).await;
+    director.borrow_mut().all_ended(left);
     let proxy_cpu_s = director.borrow_mut().cost()?;
     let (mut record, mut late) = (director.borrow_mut().record.take(), Vec::new());
     for thread in stand_ins.threads {
@@ -253,7 +254,7 @@
     places: Vec<Place>,
     running: Vec<Option<Process>>,
     /// Processes that were told to end and whose place another one has taken.
-    leaving: Vec<Process>,
+    leaving: Vec<(usize, Process)>,
     lists: Vec<Value>,
     record: RefCell<Record>,
     crashed: Option<FleetError>,
@@ -298,7 +299,7 @@
             if !process.is_ready().await {
                 return Err((proxy, &*process).into());
             }
-            self.board.entrance(proxy).listens_at(self.places[proxy].listen);
+            self.board.entrance(proxy).listens_at(self.places[proxy].listen());
             self.board.entrance(proxy).set_open(true);
         }
         Ok(())
@@ -333,25 +334,35 @@
 
     /// A process that was told to end: it has ended well, or is killed, which the judge sees.
     fn ended(&mut self, proxy: usize, process: &mut Process) {
-        if let Some(status) = process.ended().filter(|status| !status.success()) {
-            let crashed = FleetError::Crashed(proxy, status.to_string(), process.last_words());
-            self.crashed.get_or_insert(crashed);
+        if process.ended_badly() {
+            self.crash(proxy, process);
         }
         self.cpu_s += process.cpu_s();
         process.kill();
     }
 
-    /// Tells all to end; gives those that were told.
-    fn terminate_all(&mut self) -> Vec<Process> {
-        let mut running = std::mem::take(&mut self.running);
-        for (proxy, process) in running.iter_mut().enumerate() {
-            if let Some(process) = process {
-                self.crash(proxy, process);
+    /// Tells all to end; gives those that were told, now or before. A replacement that never got ready is killed.
+    fn terminate_all(&mut self) -> Vec<(usize, Process)> {
+        let mut told = std::mem::take(&mut self.leaving);
+        told.retain(|(_, process)| process.was_told());
+        for (proxy, process) in std::mem::take(&mut self.running).into_iter().enumerate() {
+            if let Some(mut process) = process {
+                self.crash(proxy, &mut process);
                 self.cpu_s += process.cpu_s();
                 process.terminate();
+                told.push((proxy, process));
+            }
+        }
+        told
+    }
+
+    /// Whoever was told to end has to have ended well; those that have not ended are killed.
+    fn all_ended(&mut self, told: Vec<(usize, Process)>) {
+        for (proxy, mut process) in told {
+            if process.ended_badly() {
+                self.crash(proxy, &mut process);
             }
         }
-        running.into_iter().flatten().chain(self.leaving.drain(..)).collect()
     }
 
     /// The mean processor time of a proxy, where none has crashed.
@@ -363,13 +374,13 @@
     }
 }
 
-/// Those that do not end in time are killed.
-async fn wait_for_end(mut left: Vec<Process>) {
+/// Waits until all have ended, or for as long as they may take.
+async fn wait_for_end(mut told: Vec<(usize, Process)>) -> Vec<(usize, Process)> {
     let end = tokio::time::Instant::now() + END_WITHIN;
-    while !left.is_empty() && tokio::time::Instant::now() < end {
-        left.retain_mut(|process| process.ended().is_none());
+    while told.iter_mut().any(|(_, process)| process.ended().is_none()) && tokio::time::Instant::now() < end {
         sleep(Duration::from_millis(20)).await;
     }
+    told
 }
 
 /// Does what the plan says to processes, at its times.
@@ -384,7 +395,7 @@
                 close_later(board, proxy, notice);
             }
             Act::Term => {
-                if let Some(process) = &director.borrow().running[proxy] {
+                if let Some(process) = &mut director.borrow_mut().running[proxy] {
                     process.terminate();
                 }
                 close_later(board, proxy, TERM_NOTICE);
@@ -408,10 +419,13 @@
                 let console = process.console();
                 director.borrow_mut().running[proxy] = Some(process);
                 director.borrow().saw(Seen::Restarted { proxy });
-                let board = Arc::clone(board);
+                let (board, director) = (Arc::clone(board), Rc::clone(director));
                 tokio::task::spawn_local(async move {
                     if Process::wait_until_ready(console).await {
                         board.entrance(proxy).set_open(true);
+                        let mut director = director.borrow_mut();
+                        let running = director.running.get_mut(proxy).and_then(Option::as_mut);
+                        running.into_iter().filter(|p| p.console() == console).for_each(Process::got_ready);
                     }
                 });
             }
@@ -441,15 +455,16 @@
     let started = director.borrow_mut().start(proxy, Known::Old);
     let Ok(process) = started else { return };
     let console = process.console();
-    director.borrow_mut().leaving.push(process);
+    director.borrow_mut().leaving.push((proxy, process));
     if !Process::wait_until_ready(console).await {
         return;
     }
     let mut director = director.borrow_mut();
-    let place = director.leaving.iter().position(|p| p.console() == console);
-    let Some(new) = place.map(|place| director.leaving.swap_remove(place)) else { return };
-    if let Some(old) = director.running[proxy].replace(new) {
+    let place = director.leaving.iter().position(|(_, p)| p.console() == console);
+    let Some((_, mut new)) = place.map(|place| director.leaving.swap_remove(place)) else { return };
+    new.got_ready();
+    if let Some(mut old) = director.running[proxy].replace(new) {
         old.terminate();
-        director.leaving.push(old);
+        director.leaving.push((proxy, old));
     }
 }
--- a/crates/rig/src/fleet/processes.rs
+++ b/crates/rig/src/fleet/processes.rs
@@ -2,13 +2,13 @@
 //! ended with the laboratory. They are known by what `spawn` gave, never by a name.
 
 use super::FleetError;
-use crate::address;
+use crate::address::{self, Held};
 use crate::script::Script;
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
 use serde_json::{Value, json};
 use std::fs::{self, File};
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::time::Duration;
@@ -67,44 +67,43 @@
 /// One process.
 pub(super) struct Process {
     child: Child,
-    console: SocketAddr,
+    console: Held,
     log: PathBuf,
     stopped: bool,
+    told: bool,
+    ready: bool,
 }
 
 /// A proxy's place: what stays the same over its processes.
 pub(super) struct Place {
     proxy: usize,
-    pub(super) listen: SocketAddr,
+    listen: Held,
     discovery: SocketAddr,
     folder: PathBuf,
     starts: u64,
 }
 
-/// An address of the process that nobody listens at.
-fn free(proxy: usize) -> io::Result<SocketAddr> {
-    TcpListener::bind((address::of_process(proxy), 0))?.local_addr()
-}
-
 impl Place {
     pub(super) fn new(folder: &Folder, proxy: usize, discovery: SocketAddr) -> io::Result<Self> {
         let folder = folder.0.join(format!("p{proxy}"));
         fs::create_dir_all(folder.join("tmp"))?;
-        Ok(Self { proxy, listen: free(proxy)?, discovery, folder, starts: 0 })
+        let listen = Held::new(address::of_process(proxy))?;
+        Ok(Self { proxy, listen, discovery, folder, starts: 0 })
+    }
+
+    /// Where clients reach whichever process runs here.
+    pub(super) fn listen(&self) -> SocketAddr {
+        self.listen.address()
     }
 
     /// Starts a process here. Has to be called on a thread that lives as long as the process is to.
     pub(super) fn start(&mut self, script: &Script, machine: &Machine, known: &Value) -> io::Result<Process> {
         self.starts += 1;
-        // Nobody listens at the clients' address yet, so that it may be given once more.
-        let mut console = free(self.proxy)?;
-        while console == self.listen {
-            console = free(self.proxy)?;
-        }
+        let console = Held::new(address::of_process(self.proxy))?;
         let seed =
             script.seed.wrapping_add(self.proxy as u64).wrapping_mul(0x9e37_79b9).wrapping_add(self.starts);
-        let config = json!({"name": format!("p{}", self.proxy), "listen": self.listen.to_string(),
-            "discovery": self.discovery.to_string(), "console": console.to_string(), "seed": format!("{seed:x}"),
+        let config = json!({"name": format!("p{}", self.proxy), "listen": self.listen().to_string(),
+            "discovery": self.discovery.to_string(), "console": console.address().to_string(), "seed": format!("{seed:x}"),
             "limits": {"cores": 1.0, "memory_mb": machine.memory_mb, "sockets": machine.descriptors},
             "known": known, "settings": script.settings(self.proxy)});
         let file = self.folder.join(format!("config-{}.json", self.starts));
@@ -121,18 +120,21 @@
             .stdout(Stdio::null())
             .stderr(File::create(&log)?)
             .spawn()?;
-        Ok(Process { child, console, log, stopped: false })
+        Ok(Process { child, console, log, stopped: false, told: false, ready: false })
     }
 }
 
 impl Process {
     /// Asks until the process says that it is ready, or is seen to have ended.
     pub(super) async fn is_ready(&mut self) -> bool {
-        let console = self.console;
+        let console = self.console();
         let mut ready = std::pin::pin!(Self::wait_until_ready(console));
         loop {
             tokio::select! {
-                ready = &mut ready => return ready,
+                ready = &mut ready => {
+                    self.ready = ready;
+                    return ready;
+                }
                 () = sleep(ASK_EVERY) => if self.ended().is_some() { return false },
             }
         }
@@ -151,7 +153,7 @@
     }
 
     pub(super) fn console(&self) -> SocketAddr {
-        self.console
+        self.console.address()
     }
 
     fn signal(&self, signal: Signal) {
@@ -171,7 +173,25 @@
         self.signal(Signal::SIGCONT);
     }
 
-    pub(super) fn terminate(&self) {
+    /// It has said that it is ready.
+    pub(super) fn got_ready(&mut self) {
+        self.ready = true;
+    }
+
+    /// Whether it has ended otherwise than well. One that was told to end before it was ready may not have heard yet how
+    /// to end well.
+    pub(super) fn ended_badly(&mut self) -> bool {
+        let unheard = self.told && !self.ready;
+        self.ended().is_some_and(|status| !status.success() && !unheard)
+    }
+
+    /// Whether it was told to end.
+    pub(super) fn was_told(&self) -> bool {
+        self.told
+    }
+
+    pub(super) fn terminate(&mut self) {
+        self.told = true;
         self.signal(Signal::SIGTERM);
     }
 
--- a/crates/rig/src/sockets/boxes.rs
+++ b/crates/rig/src/sockets/boxes.rs
@@ -2,6 +2,7 @@
 
 use super::board::Face;
 use super::shard::Shared;
+use crate::address::Held;
 use crate::http1::{self, Message};
 use crate::judge::Seen;
 use crate::model::{Arrived, BoxModel};
@@ -10,7 +11,7 @@
 use rustc_hash::FxHashMap;
 use std::cell::{Cell, RefCell};
 use std::io;
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -26,7 +27,7 @@
 pub(crate) struct StandIn {
     shared: Rc<Shared>,
     index: usize,
-    address: SocketAddr,
+    address: Held,
     /// `None`: its process is dead.
     model: RefCell<Option<BoxModel>>,
     /// Who waits for which of the model's requests.
@@ -48,15 +49,16 @@
 }
 
 impl StandIn {
-    /// A warm box. Each has an address of its own, so that nobody takes its port while it is dead.
+    /// A warm box. Its address is held, so that nobody takes its port while it is dead.
     pub(crate) fn start(shared: &Rc<Shared>, index: usize) -> io::Result<Rc<Self>> {
         let (high, low) = (index / 200, index % 200);
-        let listener = listen(SocketAddr::from(([127, 0, 10 + high as u8, 1 + low as u8], 0)))?;
+        let address = Held::new(Ipv4Addr::new(127, 0, 10 + high as u8, 1 + low as u8))?;
+        let listener = listen(address.address())?;
         let model = BoxModel::new(shared.board.script.box_spec(index), shared.board.now(), None);
         let stand_in = Rc::new(Self {
             shared: Rc::clone(shared),
             index,
-            address: listener.local_addr()?,
+            address,
             model: RefCell::new(Some(model)),
             waiting: RefCell::default(),
             wake: Notify::new(),
@@ -65,7 +67,7 @@
             next: Cell::new(0),
             rng: RefCell::new(fastrand::Rng::with_seed(shared.board.script.seed ^ index as u64)),
         });
-        shared.board.face(index).set_address(stand_in.address);
+        shared.board.face(index).set_address(stand_in.address.address());
         tokio::task::spawn_local(Rc::clone(&stand_in).work());
         tokio::task::spawn_local(Rc::clone(&stand_in).accept(listener));
         Ok(stand_in)
@@ -130,7 +132,7 @@
                     if changed.is_err() {
                         return;
                     }
-                    listener = if self.is_up() { listen(self.address).ok() } else { None };
+                    listener = if self.is_up() { listen(self.address.address()).ok() } else { None };
                 }
             }
         }
