Cold servers get what their budgets allow, and what came back is used first, once

And a box back from a drain before a quiet fleet waited for its first request until another one was busy: two of five for good.

Cause, cold: cold.rs deals a newcomer's budget out to all proxies in equal parts, a token each in ten to hundred seconds, but choice.rs wanted a slot there besides, and the dithers give slots to a few (ten of 200 proxies). So one token in twenty could be spent. Ruled out: attempts turned away (none), ejections (none). Now a cold server needs no slot beside its budget (`Server::slots`). Cause, quiet: most room wins, and one server's limit is above the others'. Now one that became ready or was ejected, and got no request since, goes first where it has room and the proxy has nothing out, at turns within 4 s.

--- a/crates/decision/src/balancer.rs
+++ b/crates/decision/src/balancer.rs
@@ -1,8 +1,7 @@
-//! Every decision of the load balancer; each kind has its file under `balancer/`, and requests pass through
-//! here. The ordinary path: a proxy keeps, for every ready server, its requests in flight (IFR) and an AIMD
-//! limit. A request goes where room (limit - IFR) is greatest. When no server has room it is held for a tenth
-//! of its time left, then refused. Departures are marked; `docs/design.md` lists them. The four rules are
-//! kept in `scope` and `may_refuse` (effects), `answer`, `send` (one answer), `ready` (drains), `ColdBudget`.
+//! Every decision of the load balancer; each kind has a file under `balancer/`. The ordinary path: a proxy
+//! keeps for every ready server its requests in flight (IFR) and an AIMD limit; a request goes where room
+//! (limit - IFR) is greatest; without room it is held for a tenth of its time left, then refused. Departures
+//! are marked (`docs/design.md`). Rules: `scope`, `may_refuse`, `answer`, `send`, `ready`, `ColdBudget`.
 
 mod choice;
 mod cold;
@@ -280,7 +279,7 @@
         if server.in_flight == 0 {
             server.silent_since = now;
         }
-        server.trial_out = server.ejected_until.is_some();
+        (server.trial_out, server.unused_since) = (server.ejected_until.is_some(), Micros::MAX);
         server.in_flight += 1;
         self.in_flight += 1;
         server.window.filled |= i64::from(server.in_flight) * 4 >= server.slots(self.pool.spread) * 3;
@@ -289,8 +288,7 @@
         let state = AttemptState::Out;
         open.attempts.push(Attempt { server: index, sent_at: now, rested, early, state });
         self.servers[index].held += 1;
-        let backend = self.servers[index].id;
-        out.push(Action::Send { request: open.id, backend, give_up_at });
+        out.push(Action::Send { request: open.id, backend: self.servers[index].id, give_up_at });
     }
 
     fn on_settled(&mut self, now: Micros, settled: Settled<'_>, out: &mut Vec<Action>) {
@@ -299,11 +297,10 @@
         let Some(attempt) = open.attempts.get_mut(usize::from(settled.attempt)) else { return };
         let was = attempt.state;
         let never_ran = settled.outcome.never_ran() && was == AttemptState::Out;
-        match was {
-            AttemptState::Out | AttemptState::Session if never_ran => attempt.state = AttemptState::NeverRan,
-            AttemptState::Out | AttemptState::Session => attempt.state = AttemptState::MayHaveRun,
-            AttemptState::NeverRan | AttemptState::MayHaveRun => return,
+        if !matches!(was, AttemptState::Out | AttemptState::Session) {
+            return;
         }
+        attempt.state = if never_ran { AttemptState::NeverRan } else { AttemptState::MayHaveRun };
         let (attempt, class) = (*attempt, open.class);
         if settled.closed {
             self.refused -= self.refused * REFUSED_WEIGHT;
--- a/crates/decision/src/balancer/choice.rs
+++ b/crates/decision/src/balancer/choice.rs
@@ -8,6 +8,8 @@
 /// what one of several may have out beyond its limits; both only as far as hardly any request is refused.
 const MIN_SPREAD: f64 = 3.0;
 const CALM_MORE: f64 = 2.0;
+/// Microseconds in which all proxies have their turns to use a server first that came back.
+const FIRST_WITHIN: f64 = 4e6;
 /// Ready servers above which a request looks at a sample of them, and how many it draws.
 pub(super) const SAMPLE_ABOVE: usize = 256;
 const SAMPLE: usize = 64;
@@ -18,11 +20,11 @@
 const OVERDUE_OVER_AIM: (f64, f64) = (0.25, 0.8);
 
 impl Server {
-    /// The whole-number limit. Departure: below 1 (many proxies, small servers) the dither decides which
-    /// proxies hold a slot, so that the admitted sum does not grow with their number.
+    /// The whole-number limit, cut off: `floor` costs. Departure: below 1 the dither decides which proxies
+    /// hold a slot, so that the admitted sum does not grow with their number. A cold server's budget sees to
+    /// that alone: with both, hardly any of many proxies ever sent it anything.
     pub(super) fn slots(&self, part: f64) -> i64 {
-        // Cut off, which is rounded down: neither is below 0, and a call of `floor` for each server costs.
-        (self.limit * part + self.dither) as i64
+        ((self.limit * part + self.dither) as i64).max(i64::from(self.cold.is_some()))
     }
 }
 
@@ -91,6 +93,10 @@
                 continue;
             }
             let room = server.slots(part) - i64::from(server.in_flight + server.sessions);
+            // Departure: one that came back and has room goes first, once; a quiet fleet would never try it.
+            let due = now.saturating_sub(server.unused_since) as f64 > (1.0 - server.dither) * FIRST_WITHIN;
+            let first = due && room > 0 && self.in_flight == 0 && server.cold.is_none();
+            let room = if first { i64::MAX } else { room };
             let left = server.limit * part + server.dither;
             if self.in_flight == 0 && left > spare.map_or(0.0, |(most, _)| most) {
                 spare = Some((left, index));
@@ -115,13 +121,9 @@
             return now >= until && !server.trial_out && repeatable;
         }
         // Departure: a server that owes answers and has long been silent may hang: nothing more goes there.
-        if server.in_flight > 0 && now > server.silent_since + overdue {
-            return false;
-        }
-        // Departure: one that turns requests away looks the emptiest; it is left alone for a request's time.
-        if now < server.full_until {
-            return false;
-        }
-        server.cold.as_ref().is_none_or(|cold| self.cold_tokens(now, server, cold) >= 1.0)
+        // One that turns requests away looks the emptiest; it is left alone for a request's time.
+        let silent = server.in_flight > 0 && now > server.silent_since + overdue;
+        let warm = |cold| self.cold_tokens(now, server, cold) >= 1.0;
+        !silent && now >= server.full_until && server.cold.as_ref().is_none_or(warm)
     }
 }
--- a/crates/decision/src/balancer/health.rs
+++ b/crates/decision/src/balancer/health.rs
@@ -55,11 +55,10 @@
         let silent = server.silent_since <= to.sent_at;
         if end.outcome == Outcome::Moot {
             // It was never sent: another request may be the trial of an ejected server.
-            server.trial_out = false;
+            (server.trial_out, server.unused_since) = (false, now);
             return;
         }
-        let aim = self.settings.classes[class].aim as f64;
-        let lmax = latency.lmax(aim, self.refused);
+        let lmax = latency.lmax(self.settings.classes[class].aim as f64, self.refused);
         let multiplex = self.settings.permissions.multiplex.max(1);
         if let Some(at) = server.rested.get_mut((server.in_flight / multiplex) as usize) {
             *at = now;
@@ -134,7 +133,7 @@
             server.strikes = server.strikes.saturating_sub(faded.min(64) as u32);
             let time = (EJECTION << server.strikes.min(MAX_STRIKES)) as f64 * jitter;
             server.ejected_until = Some(now + time as Micros);
-            (server.trial_out, server.unproven) = (false, 0);
+            (server.trial_out, server.unused_since, server.unproven) = (false, now, 0);
             server.strikes += 1;
             if !was_ejected {
                 self.ejections += 1;
--- a/crates/decision/src/balancer/limits.rs
+++ b/crates/decision/src/balancer/limits.rs
@@ -119,13 +119,12 @@
         if age < WINDOW || (window.count < MIN_REQUESTS && age < WINDOW * WINDOW_AGE_CAP) {
             return;
         }
-        if window.count >= MIN_REQUESTS {
-            if window.mean() > 1.0 {
-                server.limit *= BACKOFF_RATIO;
-                server.probing = false;
-            } else if window.filled && !server.probing {
-                server.limit += share.max(server.limit * LARGE_STEP);
-            }
+        let enough = window.count >= MIN_REQUESTS;
+        if enough && window.mean() > 1.0 {
+            server.limit *= BACKOFF_RATIO;
+            server.probing = false;
+        } else if enough && window.filled && !server.probing {
+            server.limit += share.max(server.limit * LARGE_STEP);
         }
         server.limit = server.limit.clamp(MIN_LIMIT * share, MAX_LIMIT * share);
         server.window = Window { since: now, ..Window::default() };
--- a/crates/decision/src/balancer/membership.rs
+++ b/crates/decision/src/balancer/membership.rs
@@ -83,6 +83,7 @@
             }
         };
         let server = &mut self.servers[index];
+        server.unused_since = if server.ready { server.unused_since } else { now };
         (server.listed, server.ready) = (listed, ready);
         if server.started != entry.started {
             server.started = entry.started;
@@ -99,7 +100,7 @@
         server.window = Window { since: now, ..Window::default() };
         server.rested.clear();
         (server.evidence, server.unproven, server.in_service) = (0.0, 0, now);
-        (server.ejected_until, server.strikes) = (None, 0);
+        (server.ejected_until, server.strikes, server.unused_since) = (None, 0, now);
         (server.limit, server.probing) = (limit, true);
         let started = server.started.filter(|&t| now < t.saturating_add(self.settings.safety.cold_time));
         server.cold = started.map(|started| ColdBudget { started, tokens, filled_at: now });
--- a/crates/decision/src/state.rs
+++ b/crates/decision/src/state.rs
@@ -33,6 +33,8 @@
     /// Discovery lists it; one that is gone is forgotten once no request names it.
     pub(crate) listed: bool,
     pub(crate) ready: bool,
+    /// Since when it has got no request after it became ready or was ejected; `MAX` where it got one.
+    pub(crate) unused_since: Micros,
     /// The attempts of open requests that name its place.
     pub(crate) held: u32,
     pub(crate) started: Option<Micros>,
--- a/crates/rig/src/spread.rs
+++ b/crates/rig/src/spread.rs
@@ -47,7 +47,8 @@
     /// Time from the end of each fault until service was back, seconds, by the order of their ends; none: not within
     /// the day.
     pub recovery_s: Vec<Option<f64>>,
-    /// Time from each start of a box until it began its first request, seconds; none: it began none.
+    /// Time from each start or return of a box until it began its first request, seconds; none: it began none. It returns
+    /// when the first proxy is told that it may be sent to, after any was told that it may not.
     pub first_use_s: Vec<Option<f64>>,
 }
 
@@ -57,6 +58,7 @@
     let mut loads = Loads::new(script, began);
     let mut in_time = InTime::default();
     let mut starts: Vec<(usize, Micros, Option<f64>)> = Vec::new();
+    let mut out = vec![false; script.fleet.boxes];
     let (mut asked, mut connections, mut attempts, mut turned_away, mut calls) =
         (0_u64, 0_u64, 0_u64, 0_u64, 0_u64);
     for &(at, what) in seen {
@@ -76,7 +78,15 @@
                 }
             }
             Seen::TurnedAway { .. } => (attempts, turned_away) = (attempts + 1, turned_away + 1),
-            Seen::Started { at_box } => starts.push((at_box, at, None)),
+            // Proxies hear late of a box that has started: its start counts, not the word of it.
+            Seen::Started { at_box } => {
+                out[at_box] = false;
+                starts.push((at_box, at, None));
+            }
+            Seen::Told { at_box, ready: false, .. } => out[at_box] = true,
+            Seen::Told { at_box, ready: true, .. } if std::mem::take(&mut out[at_box]) => {
+                starts.push((at_box, at, None));
+            }
             Seen::Connected { .. } => connections += 1,
             Seen::Called { .. } => calls += 1,
             _ => {}
@@ -296,6 +306,18 @@
         assert_eq!(measured.first_use_s, [Some(1.5), None]);
     }
 
+    #[test]
+    fn first_use_counts_from_the_first_word_of_a_return() {
+        let script = script("}");
+        let told = |proxy, ready| Seen::Told { proxy, at_box: 2, ready };
+        let began = Seen::Began { id: 9, at_box: 2, work: 10 };
+        let seen = [(0, told(0, true)), (10, told(0, false)), (20, told(1, false)), (30, began)];
+        assert_eq!(measure(&script, &Plan::default(), &seen, 0).first_use_s, []);
+        let back = [(1_000_000, told(1, true)), (1_100_000, told(0, true)), (3_000_000, began)];
+        let seen = [seen.as_slice(), &back].concat();
+        assert_eq!(measure(&script, &Plan::default(), &seen, 0).first_use_s, [Some(2.0)]);
+    }
+
     #[test]
     fn a_faster_box_is_due_its_speed() {
         let script = script(", speeds = [2.0, 1.0, 1.0, 1.0] }");
--- a/crates/rig/tests/spread.rs
+++ b/crates/rig/tests/spread.rs
@@ -3,7 +3,7 @@
 //! 1.6 % refused at 13 % load, 3.2 to 3.8 % at 60 %, and worth under that of chance.
 
 use haventrack_rig::fleet::report::{Row, in_virtual_time, references};
-use haventrack_rig::script::{Known, ProcessFault, ProcessWhat, Script};
+use haventrack_rig::script::{Known, ProcessFault, ProcessWhat, Script, Trouble, What};
 use std::path::Path;
 
 fn script(load: f64) -> Script {
@@ -50,18 +50,18 @@
     }
 }
 
+fn process(what: ProcessWhat, part: f64, for_s: f64) -> ProcessFault {
+    ProcessFault { what, at_s: 1.0, for_s, part, waves: 1, wave_s: 0.0, list: Known::Old }
+}
+
+fn trouble(what: What, at_s: f64, for_s: f64, part: f64) -> Trouble {
+    Trouble { what, at_s, for_s, part, zone: None, degree: 0.0 }
+}
+
 #[test]
 fn seven_in_ten_killed_at_once_are_no_reason_to_refuse() {
     let mut script = script(0.6);
-    let kill = ProcessFault {
-        what: ProcessWhat::Kill,
-        at_s: 1.0,
-        for_s: 1.0,
-        part: 0.7,
-        waves: 1,
-        wave_s: 0.0,
-        list: Known::Old,
-    };
+    let kill = process(ProcessWhat::Kill, 0.7, 1.0);
     script.process = vec![kill];
     let (row, _) = both(&script);
     assert!(row.missed + row.excused > 0, "the kill shows");
@@ -87,3 +87,64 @@
     let (row, chance) = both(&at_load(script, 0.6));
     assert!(row.asked > 10_000 && row.worth >= chance.worth - 0.02, "{} beside {}", row.worth, chance.worth);
 }
+
+/// Where each proxy sees a request a second, and where one proxy sees ten. Without a turn for what came back, two boxes
+/// of five waited for good behind one with more room.
+#[test]
+fn boxes_back_from_a_drain_get_their_first_request_within_five_seconds() {
+    for (proxies, boxes, per_s) in [(200, 60, 200.0), (1, 10, 10.0)] {
+        for seed in 1..=5 {
+            let mut script = Script { seed, seconds: 10.0, ..script(0.13) };
+            (script.fleet.proxies, script.fleet.boxes, script.traffic.per_s) = (proxies, boxes, per_s);
+            script.trouble = vec![trouble(What::Drain, 2.0, 2.0, 0.2)];
+            let row = in_virtual_time(&script).expect("it plays");
+            assert_eq!(row.broken, [0; 4], "{row:?}");
+            let first = &row.spread.first_use_s;
+            assert_eq!(first.len(), boxes / 5, "every one that was out comes back: {first:?}");
+            let soon = |used: &Option<f64>| used.is_some_and(|s| s <= 5.0);
+            assert!(first.iter().all(soon), "{proxies} proxies, seed {seed}: {first:?}");
+            assert_eq!(row.refused, 0, "{row:?}");
+        }
+    }
+}
+
+/// Two seconds late with everything: 8 % and more were refused before.
+#[test]
+fn a_third_that_stood_still_costs_little_more_than_what_came_to_it() {
+    let mut script = script(0.6);
+    script.process = vec![process(ProcessWhat::Stall, 0.33, 2.0)];
+    let (row, _) = both(&script);
+    assert!(row.p99_ms > 1_500.0, "the stall shows: {row:?}");
+    assert!(row.refused * 100 <= row.asked * 8, "{} of {} refused", row.refused, row.asked);
+    assert!(row.spread.recovery_s.iter().all(|s| s.is_some_and(|s| s <= 1.0)), "{:?}", row.spread.recovery_s);
+}
+
+/// Six in ten boxes replaced cold within seven seconds, while each proxy is told to end and starts anew.
+#[test]
+fn most_boxes_replaced_while_all_proxies_restart() {
+    let mut script = Script { seconds: 12.0, ..script(0.5) };
+    let crashes = [2.0, 4.0, 6.0, 8.0].map(|at_s| trouble(What::Crash, at_s, 1.0, 0.15));
+    script.trouble = crashes.to_vec();
+    script.process = vec![ProcessFault { waves: 10, wave_s: 0.7, ..process(ProcessWhat::End, 1.0, 0.5) }];
+    let (row, _) = both(&script);
+    // 0.87 and 0.19 where a cold box's budget was given to proxies with a slot there alone.
+    assert!(row.worth > 0.9 && row.spread.least > 0.35, "{row:?}");
+    let first = &row.spread.first_use_s;
+    assert_eq!(first.len(), 36, "four times nine boxes start: {first:?}");
+    // One that is replaced twice may be gone again before it got anything.
+    let late = first.iter().filter(|used| used.is_none_or(|s| s > 2.0)).count();
+    assert!(late <= 1, "cold ones get work: {first:?}");
+    // No cold one is pushed over by all proxies together: boxes turn away one in fifty at most.
+    assert!(row.spread.turned_away * 50 <= row.asked, "{} of {}", row.spread.turned_away, row.asked);
+}
+
+/// Three zones, one of them with four fifths more than its boxes carry: others take it over.
+#[test]
+fn a_zone_with_more_traffic_than_its_boxes_carry_is_helped_by_the_others() {
+    let mut script = script(0.6);
+    (script.fleet.zones, script.traffic.first_zone) = (3, 0.6);
+    let (row, chance) = both(&script);
+    assert!(row.worth > 0.9, "{} beside {}", row.worth, chance.worth);
+    // Its own twenty boxes could serve 500 of its 540 requests a second at the very best.
+    assert!(row.refused * 12 <= row.asked, "{} of {}", row.refused, row.asked);
+}
