Rig: one rule for a proxy's stand-in, one way to let a process go, its cost counted

Read over again: the front's choice of another proxy of the zone stood in board.rs and virtual_time/processes.rs; it is `Script::in_place_of` now. The reset of a connection stood three times; relays use the boxes'.

With that a fault of the cost figure goes: `ended` looked at how a process had ended before it read its processor time, by which time the kernel had forgotten it, and a replaced process was not counted at all. Only the figure of processor time changes, no verdict.

--- a/crates/rig/src/fleet/day.rs
+++ b/crates/rig/src/fleet/day.rs
@@ -109,7 +109,7 @@
     let rig_cpu_s = cpu_s(std::process::id()).unwrap_or(0.0) - own_before;
     let left = director.borrow_mut().terminate_all();
     let left = wait_for_end(left).await;
-    director.borrow_mut().all_ended(left);
+    left.into_iter().for_each(|(proxy, process)| director.borrow_mut().has_ended(proxy, process));
     let proxy_cpu_s = director.borrow_mut().cost()?;
     let (mut record, mut late) = (director.borrow_mut().record.take(), Vec::new());
     for thread in stand_ins.threads {
@@ -325,44 +325,39 @@
         }
     }
 
+    /// Tells one to end that serves no more, or not in this place. What it uses from now on is not counted.
+    fn dismiss(&mut self, proxy: usize, mut process: Process) {
+        self.cpu_s += process.cpu_s();
+        process.terminate();
+        self.leaving.push((proxy, process));
+    }
+
     /// The time after SIGTERM is over.
     fn reap(&mut self, proxy: usize) {
-        if let Some(mut process) = self.running[proxy].take() {
-            self.ended(proxy, &mut process);
+        if let Some(process) = self.running[proxy].take() {
+            // The kernel forgets it with the look at how it ended.
+            self.cpu_s += process.cpu_s();
+            self.has_ended(proxy, process);
         }
     }
 
     /// A process that was told to end: it has ended well, or is killed, which the judge sees.
-    fn ended(&mut self, proxy: usize, process: &mut Process) {
+    fn has_ended(&mut self, proxy: usize, mut process: Process) {
         if process.ended_badly() {
-            self.crash(proxy, process);
+            self.crash(proxy, &mut process);
         }
-        self.cpu_s += process.cpu_s();
-        process.kill();
     }
 
     /// Tells all to end; gives those that were told, now or before. A replacement that never got ready is killed.
     fn terminate_all(&mut self) -> Vec<(usize, Process)> {
-        let mut told = std::mem::take(&mut self.leaving);
-        told.retain(|(_, process)| process.was_told());
+        self.leaving.retain(|(_, process)| process.was_told());
         for (proxy, process) in std::mem::take(&mut self.running).into_iter().enumerate() {
             if let Some(mut process) = process {
                 self.crash(proxy, &mut process);
-                self.cpu_s += process.cpu_s();
-                process.terminate();
-                told.push((proxy, process));
-            }
-        }
-        told
-    }
-
-    /// Whoever was told to end has to have ended well; those that have not ended are killed.
-    fn all_ended(&mut self, told: Vec<(usize, Process)>) {
-        for (proxy, mut process) in told {
-            if process.ended_badly() {
-                self.crash(proxy, &mut process);
+                self.dismiss(proxy, process);
             }
         }
+        std::mem::take(&mut self.leaving)
     }
 
     /// The mean processor time of a proxy, where none has crashed.
@@ -463,8 +458,7 @@
     let place = director.leaving.iter().position(|(_, p)| p.console() == console);
     let Some((_, mut new)) = place.map(|place| director.leaving.swap_remove(place)) else { return };
     new.got_ready();
-    if let Some(mut old) = director.running[proxy].replace(new) {
-        old.terminate();
-        director.leaving.push((proxy, old));
+    if let Some(old) = director.running[proxy].replace(new) {
+        director.dismiss(proxy, old);
     }
 }
--- a/crates/rig/src/fleet/relay.rs
+++ b/crates/rig/src/fleet/relay.rs
@@ -5,6 +5,7 @@
 use crate::address;
 use crate::links::{Line, Link, Links};
 use crate::script::{Between, Way};
+use crate::sockets::reset;
 use haventrack_decision::api::Micros;
 use std::collections::HashMap;
 use std::io;
@@ -87,10 +88,6 @@
     Ok(port)
 }
 
-fn reset(stream: &TcpStream) {
-    let _ = socket2::SockRef::from(stream).set_linger(Some(Duration::ZERO));
-}
-
 async fn carry(links: Rc<Links>, clock: Clock, link: Link, near: TcpStream, target: Option<SocketAddr>) {
     // Where the link is cut a new connection comes up here and is silent: from inside a process no more can be done.
     due(&links, &clock, link, Way::Out, 0).await;
--- a/crates/rig/src/script.rs
+++ b/crates/rig/src/script.rs
@@ -380,6 +380,18 @@
         zone_of(index, self.fleet.zones)
     }
 
+    /// A proxy that takes what was meant for another one: of those of its zone that serve, by chance.
+    pub(crate) fn in_place_of(
+        &self,
+        meant: usize,
+        serves: impl Fn(usize) -> bool,
+        rng: &mut fastrand::Rng,
+    ) -> Option<usize> {
+        let near = (0..self.fleet.proxies).filter(|&p| serves(p) && self.zone(p) == self.zone(meant));
+        let near: Vec<usize> = near.collect();
+        if near.is_empty() { None } else { Some(near[rng.usize(0..near.len())]) }
+    }
+
     /// The cell of a box, numbered through the whole fleet.
     #[must_use]
     pub fn cell(&self, index: usize) -> u16 {
--- a/crates/rig/src/sockets.rs
+++ b/crates/rig/src/sockets.rs
@@ -10,6 +10,7 @@
 mod threads;
 
 pub(crate) use board::Board;
+pub(crate) use boxes::reset;
 pub(crate) use shard::Shard;
 
 use crate::judge::{Judgement, judge};
--- a/crates/rig/src/sockets/board.rs
+++ b/crates/rig/src/sockets/board.rs
@@ -208,10 +208,6 @@
         if self.entrance(meant).is_open() {
             return Some(meant);
         }
-        let zone = self.script.zone(meant);
-        let near =
-            (0..self.entrances.len()).filter(|&p| self.script.zone(p) == zone && self.entrance(p).is_open());
-        let near: Vec<usize> = near.collect();
-        if near.is_empty() { None } else { Some(near[rng.usize(0..near.len())]) }
+        self.script.in_place_of(meant, |proxy| self.entrance(proxy).is_open(), rng)
     }
 }
--- a/crates/rig/src/sockets/boxes.rs
+++ b/crates/rig/src/sockets/boxes.rs
@@ -41,6 +41,11 @@
     rng: RefCell<fastrand::Rng>,
 }
 
+/// Has a connection end by a reset when it is dropped.
+pub(crate) fn reset(stream: &TcpStream) {
+    let _ = socket2::SockRef::from(stream).set_linger(Some(Duration::ZERO));
+}
+
 fn listen(address: SocketAddr) -> io::Result<TcpListener> {
     let socket = TcpSocket::new_v4()?;
     socket.set_reuseaddr(true)?;
@@ -143,7 +148,7 @@
         self.shared.saw(Seen::Connected { at_box: self.index });
         let mut life = self.life.subscribe();
         if self.strikes(What::ResetNew, None) {
-            let _ = socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+            reset(&stream);
             return;
         }
         if self.strikes(What::AcceptLate, None) {
@@ -156,7 +161,7 @@
         };
         if died {
             // The kernel of a dead process resets its connections.
-            let _ = socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+            reset(&stream);
         }
     }
 
--- a/crates/rig/src/virtual_time/processes.rs
+++ b/crates/rig/src/virtual_time/processes.rs
@@ -56,11 +56,8 @@
             Some(since) if self.now < since + micros(self.script.fleet.front_notice_s) => return None,
             _ => {}
         }
-        let serves = |p: &usize| self.processes[*p].runs() && !self.processes[*p].ending;
-        let zone = self.script.zone(meant);
-        let near: Vec<usize> =
-            (0..self.processes.len()).filter(|p| serves(p) && self.script.zone(*p) == zone).collect();
-        if near.is_empty() { None } else { Some(near[self.rng.usize(0..near.len())]) }
+        let serves = |proxy: usize| self.processes[proxy].runs() && !self.processes[proxy].ending;
+        self.script.in_place_of(meant, serves, &mut self.rng)
     }
 
     pub(super) fn process(&mut self, which: usize) {
