An asked discovery that returns is heard within 6 s; a list that is too long is said once

Seen from outside with 100 proxies and discovery back after 8 s: the first call up to 7.6 s after it could be reached. Causes: the wait for a turn (a round of 8 s, `turns.rs`) came on top of the backoff (4 s, `resubscribe_later`) and of the call itself: a watch begun into silence hung for 21.5 s (`limit` in `discovery.rs`).

Now `turns.rs` decides when a call to a shared service begins, for a fleet of any size. A round is 5 s and holds the longest call (2.5 s: a watch begins with a wait of 0.1 s, the long one follows) and the longest backoff (2 s), so that calls lie exactly a round apart and a second is left for the answer. A silent watch is given up 0.75 s after its wait and followed by a call without a turn; waits are spread by number. A service seen in debt twice in a row is asked at 200 ms a proxy.

A list over 4 MiB was "the connection failed" and asked for again after 64 to 263 ms. It is an error of its own with its size and the bound, logged once in a row, asked for after 5 to 30 s; the list that is held serves on.

Tests of discovery.rs and turns.rs moved into test files; the translator has a file of its own.

--- a/crates/decision/src/balancer/membership.rs
+++ b/crates/decision/src/balancer/membership.rs
@@ -51,9 +51,9 @@
         }
     }
 
-    /// A call failed or the subscription broke: ask again, later each time and not all proxies at once.
+    /// A call failed: ask again, later each time (2 s at most, `proxy::turns`) and not all proxies at once.
     fn resubscribe_later(&mut self, out: &mut Vec<Action>) {
-        let wait = (SECOND / 8) << self.subscribe_failures.min(4);
+        let wait = (SECOND / 8) << self.subscribe_failures.min(3);
         self.subscribe_failures += 1;
         let after = wait + self.rng.u64(0..=wait);
         out.push(Action::SetTimer { after, token: TIMER_SUBSCRIBE });
--- a/crates/program/src/program.rs
+++ b/crates/program/src/program.rs
@@ -214,19 +214,12 @@
     };
     let held = Rc::new(Cell::new(false));
     let translator = Translator::new(clock, &config.names);
-    let subscriptions = asked.then_some(subscriptions);
     let (discovery, addresses) = watch::channel(config.discovery);
-    let turns = Turns::of(settings.me, settings.balancers, settings.safety.ask_within);
+    let asks = asked
+        .then(|| (subscriptions, Turns::of(settings.me, settings.balancers, settings.safety.ask_within)));
     let roster = Rc::new(RefCell::new(Roster::new(bans)));
-    let mut watcher = Watcher::new(
-        addresses,
-        translator,
-        Rc::clone(&roster),
-        handle.clone(),
-        Rc::clone(&held),
-        subscriptions,
-        turns,
-    );
+    let mut watcher =
+        Watcher::new(addresses, translator, Rc::clone(&roster), handle.clone(), Rc::clone(&held), asks);
     watcher.start_from(config.known);
     let heard = watcher.heard();
     let renewal = Renewal::new(config.shape, settings.clone(), config.names.clone(), handle.clone(), learns)?;
--- a/crates/program/tests/proxy/main.rs
+++ b/crates/program/tests/proxy/main.rs
@@ -4,6 +4,8 @@
 mod ending;
 mod leaving;
 mod list;
+mod outage;
+mod oversized;
 mod rig;
 
 use rig::*;
--- a/crates/proxy/src/discovery.rs
+++ b/crates/proxy/src/discovery.rs
@@ -1,27 +1,27 @@
 //! Discovery: the whole list, then a watch for changes; names to numbers.
 
-use crate::backends::Listed;
+mod translator;
+
+pub use translator::{List, Translator};
+
 use crate::carrier::{Handle, Scope, tell_list};
 use crate::log::log;
-use crate::names::Names;
 use crate::roster::{Entry, Roster};
-use crate::turns::Turns;
+use crate::turns::{Failure, OPENING_LIMIT, OPENING_WAIT, Turns, WATCH_SLACK};
 use bytes::Bytes;
-use haventrack_decision::api::{Backend, BackendId, Micros, Readiness};
-use haventrack_engine::shell::clock::Clock;
-use http_body_util::{BodyExt, Empty, Limited};
+use haventrack_decision::api::{Micros, Readiness};
+use http_body_util::{BodyExt, Empty, LengthLimitError, Limited};
+use hyper::body::Body;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::{HOST, HeaderValue};
 use hyper::{Request, StatusCode, Uri};
 use hyper_util::rt::TokioIo;
-use rustc_hash::{FxHashMap, FxHashSet};
-use serde::Deserialize;
 use serde_json::Value;
 use std::cell::{Cell, RefCell};
-use std::fmt;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
+use thiserror::Error;
 use tokio::net::TcpStream;
 use tokio::sync::{Notify, mpsc, watch};
 use tokio::task::JoinHandle;
@@ -41,197 +41,72 @@
 /// How long after a failure an agent is asked again, at first and at the most.
 const FIRST_BACKOFF: Duration = Duration::from_millis(50);
 const MOST_BACKOFF: Duration = Duration::from_millis(100);
-/// How long a watch on a service that all proxies share may wait: it is asked more seldom.
-const ASKED_WAIT: Duration = Duration::from_secs(20);
-/// How long a service may take for the whole list. It takes calls in turn and fails those that waited 2 s: whoever gives
-/// up before has it work for nobody.
-const ASKED_LIST: Duration = Duration::from_millis(2_500);
-/// How long it may take beyond the wait of a watch. What a silent watch missed holds 2 s after the wait, and until then
-/// another call has to bring it.
-const ASKED_SLACK: Duration = Duration::from_millis(1_500);
-/// The largest list; thousands of entries fit in.
-const LIST_CAP: usize = 4 << 20;
-
-/// How long a call may take: a watch, or one for the whole list, after so many failures in a row.
-fn limit(asked: bool, watches: bool, failures: u32) -> Duration {
-    match (asked, watches) {
-        (true, true) => ASKED_WAIT + ASKED_SLACK,
-        (true, false) => ASKED_LIST,
-        (false, true) => PUSHED_WAIT + PUSHED_SLACK,
-        (false, false) if (failures + 1).is_multiple_of(PATIENT_EVERY) => PATIENT_LIST,
-        (false, false) => PUSHED_LIST,
-    }
+/// The largest list that is read, in bytes; some 25,000 entries fit in.
+pub const LIST_CAP: usize = 4 << 20;
+/// How long after a list that is too long another one is asked for, at first and at the most: each costs the service the
+/// writing of it, and only whoever keeps the list can make it shorter. A part of it is left to chance, so that not all
+/// proxies ask at once.
+const FIRST_OVERSIZED: Duration = Duration::from_secs(5);
+const MOST_OVERSIZED: Duration = Duration::from_secs(30);
+const OVERSIZED_CHANCE: f64 = 0.25;
+
+/// What a call asks for, and so how long it may take.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Target {
+    Whole,
+    /// What is newer than this version, with a wait.
+    Changes(u64, Duration),
 }
 
 /// Why a call to discovery brought nothing.
-#[derive(Debug)]
+#[derive(Debug, Error)]
 pub enum DiscoveryError {
-    /// No connection, or it broke.
-    Connection,
+    /// No connection came up.
+    #[error("the connection failed")]
+    Unreachable,
+    /// The connection broke before the whole answer had come.
+    #[error("the connection broke")]
+    Broken,
     /// Nothing came in time.
+    #[error("no answer in time")]
     Timeout,
     /// An answer other than 200.
+    #[error("answered {0}")]
     Status(StatusCode),
+    /// A list of more than [`LIST_CAP`] bytes; how many, where that was told ahead.
+    #[error(
+        "the list is too long: {}, and at most {LIST_CAP} are read, some 25000 backends; the list that is held serves on, \
+         and a shorter one is asked for after {} s, later each {} s",
+        size(.0), FIRST_OVERSIZED.as_secs(), MOST_OVERSIZED.as_secs()
+    )]
+    Oversized(Option<u64>),
     /// Not the JSON that is wanted.
+    #[error("malformed list: {0}")]
     Malformed(serde_json::Error),
 }
 
-impl fmt::Display for DiscoveryError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::Connection => write!(f, "the connection failed"),
-            Self::Timeout => write!(f, "no answer in time"),
-            Self::Status(status) => write!(f, "answered {status}"),
-            Self::Malformed(error) => write!(f, "malformed list: {error}"),
-        }
+fn size(told: &Option<u64>) -> String {
+    match told {
+        Some(bytes) => format!("{bytes} bytes"),
+        None => format!("over {LIST_CAP} bytes"),
     }
 }
 
-impl std::error::Error for DiscoveryError {}
-
-#[derive(Deserialize)]
-struct RawList {
-    revision: u64,
-    #[serde(default)]
-    complete: bool,
-    #[serde(default)]
-    members: Vec<Value>,
-}
-
-#[derive(Deserialize)]
-struct RawMember {
-    id: String,
-    host_port: String,
-    locality: String,
-    #[serde(default)]
-    flavor: String,
-    #[serde(default)]
-    cell: u16,
-    phase: String,
-    #[serde(default)]
-    up_since_ms: u64,
-}
-
-/// A list in the module's terms.
-#[derive(Debug)]
-pub struct List {
-    /// Its version.
-    pub revision: u64,
-    /// Whether it names all backends.
-    pub complete: bool,
-    /// The entries that make sense.
-    pub entries: Vec<Entry>,
-}
-
-/// Translates discovery's names.
-pub struct Translator {
-    clock: Clock,
-    zones: FxHashMap<String, u16>,
-    kinds: FxHashMap<String, u8>,
-    numbers: FxHashMap<String, BackendId>,
-    taken: FxHashSet<BackendId>,
-    starts: FxHashMap<BackendId, (u64, Option<u64>)>,
-}
-
-impl Translator {
-    /// A translator that knows no backends yet.
-    #[must_use]
-    pub fn new(clock: Clock, names: &Names) -> Self {
-        let zones = names.zones.iter().cloned().zip(0..).collect();
-        let kinds = names.kinds.iter().cloned().zip(0..=u8::MAX).collect();
-        Self {
-            clock,
-            zones,
-            kinds,
-            numbers: FxHashMap::default(),
-            taken: FxHashSet::default(),
-            starts: FxHashMap::default(),
-        }
-    }
-
-    /// Reads a list. Entries that make no sense are logged and passed over.
-    ///
-    /// # Errors
-    /// Where the list as a whole is not what is wanted.
-    pub fn list(&mut self, json: Value) -> Result<List, DiscoveryError> {
-        let raw: RawList = serde_json::from_value(json).map_err(DiscoveryError::Malformed)?;
-        let entries = raw.members.into_iter().filter_map(|member| match self.member(member) {
-            Ok(listed) => Some(listed),
-            Err(problem) => {
-                log(format_args!("passing over an entry of the list: {problem}"));
-                None
-            }
-        });
-        let list = List { revision: raw.revision, complete: raw.complete, entries: entries.collect() };
-        self.forget_gone(&list);
-        Ok(list)
-    }
-
-    /// Where every backend has a new name, those that are gone must not pile up.
-    fn forget_gone(&mut self, list: &List) {
-        let stays = |l: &Listed| l.backend.readiness != Readiness::Gone;
-        let listed = || list.entries.iter().map(|e| e.listed);
-        let named = |stay: bool| listed().filter(move |l| stays(l) == stay).map(|l| l.backend.id);
-        let (stay, gone): (FxHashSet<_>, FxHashSet<_>) = (named(true).collect(), named(false).collect());
-        if list.complete || !gone.is_empty() {
-            let keep = |id: &BackendId| stay.contains(id) || (!list.complete && !gone.contains(id));
-            self.numbers.retain(|_, id| keep(id));
-            self.taken.retain(keep);
-            self.starts.retain(|id, _| keep(id));
-        }
-    }
-
-    fn member(&mut self, member: Value) -> Result<Entry, String> {
-        let raw: RawMember = serde_json::from_value(member).map_err(|e| e.to_string())?;
-        let address = raw.host_port.parse();
-        let address = address.map_err(|_| format!("`{}` is no address", raw.host_port))?;
-        let readiness = match raw.phase.as_str() {
-            "active" => Readiness::Ready,
-            "leaving" => Readiness::Draining,
-            "left" => Readiness::Gone,
-            other => return Err(format!("unknown phase `{other}`")),
-        };
-        let zone = self.zones.get(&raw.locality).copied();
-        let zone = zone.ok_or_else(|| format!("unknown locality `{}`", raw.locality))?;
-        // A kind that the settings don't name can still be sent to.
-        let kind = self.kinds.get(&raw.flavor).copied().unwrap_or(0);
-        let id = self.number(&raw.id);
-        let started = self.started(id, raw.up_since_ms);
-        let backend = Backend { id, zone, kind, cell: raw.cell, readiness, started };
-        Ok(Entry { name: raw.id, listed: Listed { backend, address } })
-    }
-
-    /// A backend's number, the same at every proxy: the hash of its name. Two names that share a hash (one in
-    /// millions) are told apart by order, which costs nothing but that sameness.
-    fn number(&mut self, name: &str) -> BackendId {
-        if let Some(&number) = self.numbers.get(name) {
-            return number;
-        }
-        let mut number = fnv(name.as_bytes());
-        while !self.taken.insert(number) {
-            number = number.wrapping_add(1);
-        }
-        self.numbers.insert(name.to_owned(), number);
-        number
-    }
-
-    /// When it started on this proxy's clock. The same start keeps the time first worked out: a start ahead of
-    /// the clock, which counts as now, must not look like a new one on each list.
-    fn started(&mut self, id: BackendId, unix_ms: u64) -> Option<u64> {
-        if let Some(&(told, started)) = self.starts.get(&id)
-            && told == unix_ms
-        {
-            return started;
+impl DiscoveryError {
+    /// What this says of a service that all proxies ask, of a call that took so long. `watched`: of a watch that was up.
+    fn failure(&self, watched: bool, took: Micros) -> Failure {
+        match self {
+            Self::Timeout if watched => Failure::Silent,
+            Self::Broken | Self::Status(_) if !watched => Failure::Refused(took),
+            _ => Failure::Unreached,
         }
-        let started = self.clock.started(unix_ms);
-        self.starts.insert(id, (unix_ms, started));
-        started
     }
 }
 
-/// FNV-1a, 32 bits: stable from one build and machine to the next.
-fn fnv(bytes: &[u8]) -> u32 {
-    bytes.iter().fold(0x811c_9dc5, |hash, &byte| (hash ^ u32::from(byte)).wrapping_mul(0x0100_0193))
+/// How long to wait after so many lists in a row that were too long. `chance` is drawn from 0..1.
+fn oversized_pause(in_a_row: u32, chance: f64) -> Duration {
+    let most = FIRST_OVERSIZED * 2_u32.saturating_pow(in_a_row.saturating_sub(1).min(8));
+    most.min(MOST_OVERSIZED).mul_f64(1.0 - OVERSIZED_CHANCE * chance)
 }
 
 struct Conn {
@@ -260,9 +135,10 @@
     revision: Option<u64>,
     /// Discovery is at a new address: it is called without the module's asking.
     moved: bool,
-    /// When it may begin a watch on a service that a large bank shares, and when it last did.
+    /// When it may call a service that the whole fleet shares.
     turns: Option<Turns>,
-    called: Option<Micros>,
+    /// The watch is up: its last call was answered.
+    watches: bool,
     /// A watch has to be begun. The module decides when, where a service is asked.
     begins: bool,
     /// The list of the configuration can be served from.
@@ -271,13 +147,17 @@
     known: Option<Vec<Entry>>,
     /// Failures in a row.
     failures: u32,
+    /// Lists in a row that were too long.
+    oversized: u32,
+    /// How long nothing is asked after the last one.
+    pause: Option<Duration>,
     /// Told once discovery has answered or failed to.
     heard: Rc<Notify>,
 }
 
 impl Watcher {
-    /// A watcher that has made no call. With `asked` it begins a watch only when told to, otherwise by itself. With
-    /// `turns` as well it begins one at its turns only.
+    /// A watcher that has made no call. With `asked` it begins a watch only when told to and at its turns, otherwise by
+    /// itself.
     #[must_use]
     #[allow(clippy::too_many_arguments)]
     pub fn new(
@@ -286,10 +166,9 @@
         roster: Rc<RefCell<Roster>>,
         handle: Handle,
         held: Rc<Cell<bool>>,
-        asked: Option<mpsc::UnboundedReceiver<()>>,
-        turns: Option<Turns>,
+        asked: Option<(mpsc::UnboundedReceiver<()>, Turns)>,
     ) -> Self {
-        let turns = turns.filter(|_| asked.is_some());
+        let (asked, turns) = asked.unzip();
         Self {
             addresses,
             translator,
@@ -301,11 +180,13 @@
             revision: None,
             moved: false,
             turns,
-            called: None,
+            watches: false,
             begins: true,
             fallback: false,
             known: None,
             failures: 0,
+            oversized: 0,
+            pause: None,
             heard: Rc::default(),
         }
     }
@@ -326,7 +207,7 @@
             List { revision: 0, complete: false, entries: Vec::new() }
         });
         self.fallback = list.entries.iter().any(|e| e.listed.backend.readiness == Readiness::Ready);
-        if self.turns.is_some() && self.fallback {
+        if self.turns.is_some_and(|turns| turns.is_crowded()) && self.fallback {
             self.revision = list.complete.then_some(list.revision);
             self.held.set(true);
         }
@@ -361,7 +242,10 @@
     /// that is held serves on until the new one has come.
     fn leave(&mut self) {
         (self.conn, self.revision, self.moved, self.begins) = (None, None, true, true);
-        self.failures = 0;
+        (self.watches, self.failures, self.oversized) = (false, 0, 0);
+        if let Some(turns) = &mut self.turns {
+            turns.moved();
+        }
     }
 
     /// Follows discovery where it is now. Ends with the process.
@@ -373,24 +257,40 @@
                 }
                 self.wait_for_turn().await;
             }
+            let began = self.handle.clock().now();
             match self.call().await {
                 Ok(list) => {
-                    self.failures = 0;
+                    (self.watches, self.failures, self.oversized) = (true, 0, 0);
+                    if let Some(turns) = &mut self.turns {
+                        turns.answered();
+                    }
                     self.pass_on(list);
                     self.heard.notify_one();
                 }
                 Err(error) => {
-                    if self.failures == 0 {
-                        log(format_args!("discovery: {error}"));
-                    }
-                    self.failures = self.failures.saturating_add(1);
-                    (self.conn, self.begins) = (None, true);
+                    let took = self.handle.clock().now().saturating_sub(began);
+                    self.note_failure(&error, took);
                     self.after_failure().await;
                 }
             }
         }
     }
 
+    /// An outage is logged once, and so is a list that is too long, whatever else fails meanwhile.
+    fn note_failure(&mut self, error: &DiscoveryError, took: Micros) {
+        let oversized = matches!(error, DiscoveryError::Oversized(_));
+        if if oversized { self.oversized == 0 } else { self.failures == 0 } {
+            log(format_args!("discovery: {error}"));
+        }
+        self.oversized = self.oversized.saturating_add(u32::from(oversized));
+        self.failures = self.failures.saturating_add(1);
+        if let Some(turns) = &mut self.turns {
+            turns.failed(error.failure(self.watches, took));
+        }
+        (self.conn, self.begins, self.watches) = (None, true, false);
+        self.pause = oversized.then(|| oversized_pause(self.oversized, fastrand::f64()));
+    }
+
     async fn wait_for_call(&mut self) {
         if let Some(asked) = &mut self.asked {
             // The engine ends only with the process.
@@ -401,14 +301,12 @@
         }
     }
 
-    /// Whoever holds no list asks at once.
     async fn wait_for_turn(&mut self) {
-        let Some(turns) = self.turns.filter(|_| self.held.get()) else { return };
+        let Some(turns) = &mut self.turns else { return };
         let clock = self.handle.clock();
-        let now = clock.now();
-        let at = now + turns.wait(now, self.called);
+        let at = turns.at(clock.now(), self.held.get());
         sleep_until(clock.instant(at)).await;
-        self.called = Some(at);
+        turns.begun(at);
     }
 
     fn pass_on(&mut self, list: List) {
@@ -436,23 +334,50 @@
             self.held.set(true);
         }
         self.heard.notify_one();
+        let pause = self.pause.take();
+        if let Some(pause) = pause {
+            sleep(pause).await;
+        }
         if self.asked.is_some() {
             return tell_list(&self.handle, Scope::Failed, &Vec::new());
         }
         self.revision = None;
+        if pause.is_some() {
+            return;
+        }
         sleep((FIRST_BACKOFF * self.failures).min(MOST_BACKOFF)).await;
     }
 
+    /// What the next call asks for, and how long it may take.
+    fn target(&self) -> (Target, Duration) {
+        let (wait, slack) = match &self.turns {
+            None => (PUSHED_WAIT, PUSHED_SLACK),
+            Some(turns) if self.watches => {
+                (Duration::from_micros(turns.watch_wait()), Duration::from_micros(WATCH_SLACK))
+            }
+            Some(_) => {
+                (Duration::from_micros(OPENING_WAIT), Duration::from_micros(OPENING_LIMIT - OPENING_WAIT))
+            }
+        };
+        let whole = match &self.turns {
+            Some(_) => Duration::from_micros(OPENING_LIMIT),
+            None if (self.failures + 1).is_multiple_of(PATIENT_EVERY) => PATIENT_LIST,
+            None => PUSHED_LIST,
+        };
+        match self.revision {
+            None => (Target::Whole, whole),
+            Some(after) => (Target::Changes(after, wait), wait + slack),
+        }
+    }
+
     async fn call(&mut self) -> Result<List, DiscoveryError> {
-        let asked = self.asked.is_some();
-        let target = match self.revision {
-            None => "/discovery/hosts".to_owned(),
-            Some(after) => {
-                let wait = if asked { ASKED_WAIT } else { PUSHED_WAIT };
+        let (target, limit) = self.target();
+        let target = match target {
+            Target::Whole => "/discovery/hosts".to_owned(),
+            Target::Changes(after, wait) => {
                 format!("/discovery/hosts?after={after}&wait_ms={}", wait.as_millis())
             }
         };
-        let limit = limit(asked, self.revision.is_some(), self.failures);
         let body = timeout(limit, self.fetch(&target)).await.map_err(|_| DiscoveryError::Timeout)??;
         self.translator.list(serde_json::from_slice(&body).map_err(DiscoveryError::Malformed)?)
     }
@@ -467,7 +392,7 @@
         }
         let mut conn = match kept {
             Some(conn) => conn,
-            None => dial(address).await.ok_or(DiscoveryError::Connection)?,
+            None => dial(address).await.ok_or(DiscoveryError::Unreachable)?,
         };
         let mut request = Request::new(Empty::new());
         *request.uri_mut() = target.parse::<Uri>().unwrap_or_default();
@@ -475,13 +400,24 @@
             request.headers_mut().insert(HOST, host);
         }
         let sent = conn.sender.send_request(request).await;
-        let response = sent.map_err(|_| DiscoveryError::Connection)?;
+        let response = sent.map_err(|_| DiscoveryError::Broken)?;
         let status = response.status();
-        let body = Limited::new(response.into_body(), LIST_CAP).collect().await;
-        let body = body.map_err(|_| DiscoveryError::Connection)?.to_bytes();
         if status != StatusCode::OK {
             return Err(DiscoveryError::Status(status));
         }
+        let body = response.into_body();
+        let told = body.size_hint().exact();
+        if told.is_some_and(|bytes| bytes > LIST_CAP as u64) {
+            return Err(DiscoveryError::Oversized(told));
+        }
+        let body = Limited::new(body, LIST_CAP).collect().await.map_err(|error| {
+            if error.is::<LengthLimitError>() {
+                DiscoveryError::Oversized(None)
+            } else {
+                DiscoveryError::Broken
+            }
+        })?;
+        let body = body.to_bytes();
         self.conn = Some(conn);
         Ok(body)
     }
@@ -496,31 +432,3 @@
     });
     Some(Conn { sender, task })
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-    use serde_json::json;
-
-    #[test]
-    fn names_that_are_gone_are_forgotten_and_the_others_keep_their_numbers() {
-        let names = Names { zones: vec!["a".into()], ..Names::default() };
-        let mut translator = Translator::new(Clock::start(), &names);
-        let entry = |id: String, phase: &str| json!({"id": id, "host_port": "127.0.0.1:9", "locality": "a", "phase": phase, "up_since_ms": 1});
-        let mut list = |complete: bool, members: Vec<Value>| {
-            let list = translator.list(json!({"revision": 1, "complete": complete, "members": members}));
-            let ids = list.expect("a list").entries.iter().map(|e| e.listed.backend.id).collect::<Vec<_>>();
-            (ids, translator.numbers.len(), translator.taken.len(), translator.starts.len())
-        };
-        let (first, ..) = list(true, vec![entry("stays".into(), "active")]);
-        for turn in 0..100 {
-            list(false, vec![entry(format!("s-{turn}"), "active")]);
-            list(false, vec![entry(format!("s-{turn}"), "left")]);
-        }
-        let delta = list(false, vec![entry("stays".into(), "leaving")]);
-        assert_eq!(delta, (first, 1, 1, 1));
-        list(false, (0..100).map(|n| entry(format!("t-{n}"), "active")).collect());
-        let (_, numbers, taken, starts) = list(true, vec![entry("stays".into(), "active")]);
-        assert_eq!((numbers, taken, starts), (1, 1, 1));
-    }
-}
--- /dev/null
+++ b/crates/proxy/src/discovery/translator.rs
@@ -0,0 +1,160 @@
+//! Reads discovery's lists: its names to the module's numbers.
+
+use super::DiscoveryError;
+use crate::backends::Listed;
+use crate::log::log;
+use crate::names::Names;
+use crate::roster::Entry;
+use haventrack_decision::api::{Backend, BackendId, Readiness};
+use haventrack_engine::shell::clock::Clock;
+use rustc_hash::{FxHashMap, FxHashSet};
+use serde::Deserialize;
+use serde_json::Value;
+
+#[derive(Deserialize)]
+struct RawList {
+    revision: u64,
+    #[serde(default)]
+    complete: bool,
+    #[serde(default)]
+    members: Vec<Value>,
+}
+
+#[derive(Deserialize)]
+struct RawMember {
+    id: String,
+    host_port: String,
+    locality: String,
+    #[serde(default)]
+    flavor: String,
+    #[serde(default)]
+    cell: u16,
+    phase: String,
+    #[serde(default)]
+    up_since_ms: u64,
+}
+
+/// A list in the module's terms.
+#[derive(Debug)]
+pub struct List {
+    /// Its version.
+    pub revision: u64,
+    /// Whether it names all backends.
+    pub complete: bool,
+    /// The entries that make sense.
+    pub entries: Vec<Entry>,
+}
+
+/// Translates discovery's names.
+pub struct Translator {
+    clock: Clock,
+    zones: FxHashMap<String, u16>,
+    kinds: FxHashMap<String, u8>,
+    numbers: FxHashMap<String, BackendId>,
+    taken: FxHashSet<BackendId>,
+    starts: FxHashMap<BackendId, (u64, Option<u64>)>,
+}
+
+impl Translator {
+    /// A translator that knows no backends yet.
+    #[must_use]
+    pub fn new(clock: Clock, names: &Names) -> Self {
+        let zones = names.zones.iter().cloned().zip(0..).collect();
+        let kinds = names.kinds.iter().cloned().zip(0..=u8::MAX).collect();
+        Self {
+            clock,
+            zones,
+            kinds,
+            numbers: FxHashMap::default(),
+            taken: FxHashSet::default(),
+            starts: FxHashMap::default(),
+        }
+    }
+
+    /// Reads a list. Entries that make no sense are logged and passed over.
+    ///
+    /// # Errors
+    /// Where the list as a whole is not what is wanted.
+    pub fn list(&mut self, json: Value) -> Result<List, DiscoveryError> {
+        let raw: RawList = serde_json::from_value(json).map_err(DiscoveryError::Malformed)?;
+        let entries = raw.members.into_iter().filter_map(|member| match self.member(member) {
+            Ok(listed) => Some(listed),
+            Err(problem) => {
+                log(format_args!("passing over an entry of the list: {problem}"));
+                None
+            }
+        });
+        let list = List { revision: raw.revision, complete: raw.complete, entries: entries.collect() };
+        self.forget_gone(&list);
+        Ok(list)
+    }
+
+    /// Where every backend has a new name, those that are gone must not pile up.
+    fn forget_gone(&mut self, list: &List) {
+        let stays = |l: &Listed| l.backend.readiness != Readiness::Gone;
+        let listed = || list.entries.iter().map(|e| e.listed);
+        let named = |stay: bool| listed().filter(move |l| stays(l) == stay).map(|l| l.backend.id);
+        let (stay, gone): (FxHashSet<_>, FxHashSet<_>) = (named(true).collect(), named(false).collect());
+        if list.complete || !gone.is_empty() {
+            let keep = |id: &BackendId| stay.contains(id) || (!list.complete && !gone.contains(id));
+            self.numbers.retain(|_, id| keep(id));
+            self.taken.retain(keep);
+            self.starts.retain(|id, _| keep(id));
+        }
+    }
+
+    fn member(&mut self, member: Value) -> Result<Entry, String> {
+        let raw: RawMember = serde_json::from_value(member).map_err(|e| e.to_string())?;
+        let address = raw.host_port.parse();
+        let address = address.map_err(|_| format!("`{}` is no address", raw.host_port))?;
+        let readiness = match raw.phase.as_str() {
+            "active" => Readiness::Ready,
+            "leaving" => Readiness::Draining,
+            "left" => Readiness::Gone,
+            other => return Err(format!("unknown phase `{other}`")),
+        };
+        let zone = self.zones.get(&raw.locality).copied();
+        let zone = zone.ok_or_else(|| format!("unknown locality `{}`", raw.locality))?;
+        // A kind that the settings don't name can still be sent to.
+        let kind = self.kinds.get(&raw.flavor).copied().unwrap_or(0);
+        let id = self.number(&raw.id);
+        let started = self.started(id, raw.up_since_ms);
+        let backend = Backend { id, zone, kind, cell: raw.cell, readiness, started };
+        Ok(Entry { name: raw.id, listed: Listed { backend, address } })
+    }
+
+    /// A backend's number, the same at every proxy: the hash of its name. Two names that share a hash (one in
+    /// millions) are told apart by order, which costs nothing but that sameness.
+    fn number(&mut self, name: &str) -> BackendId {
+        if let Some(&number) = self.numbers.get(name) {
+            return number;
+        }
+        let mut number = fnv(name.as_bytes());
+        while !self.taken.insert(number) {
+            number = number.wrapping_add(1);
+        }
+        self.numbers.insert(name.to_owned(), number);
+        number
+    }
+
+    /// When it started on this proxy's clock. The same start keeps the time first worked out: a start ahead of
+    /// the clock, which counts as now, must not look like a new one on each list.
+    fn started(&mut self, id: BackendId, unix_ms: u64) -> Option<u64> {
+        if let Some(&(told, started)) = self.starts.get(&id)
+            && told == unix_ms
+        {
+            return started;
+        }
+        let started = self.clock.started(unix_ms);
+        self.starts.insert(id, (unix_ms, started));
+        started
+    }
+}
+
+/// FNV-1a, 32 bits: stable from one build and machine to the next.
+fn fnv(bytes: &[u8]) -> u32 {
+    bytes.iter().fold(0x811c_9dc5, |hash, &byte| (hash ^ u32::from(byte)).wrapping_mul(0x0100_0193))
+}
+
+#[cfg(test)]
+mod tests;
