--- /dev/null
+++ b/crates/proxy/src/backends/tests.rs
@@ -0,0 +1,26 @@
+use super::*;
+
+#[test]
+fn a_connection_that_answered_just_now_is_taken_only_where_all_have() {
+    let choose = |ms: &[u64]| choose_idle(ms.iter().map(|&ms| Duration::from_millis(ms)));
+    assert_eq!(choose(&[]), None);
+    assert_eq!(choose(&[900, 40, 5]), Some(2), "the one that was used last");
+    assert_eq!(choose(&[900, 40, 4]), Some(1), "its backend may be closing it");
+    assert_eq!(choose(&[4, 3, 0]), Some(2));
+    assert_eq!(choose(&[5, 4, 4]), Some(0));
+}
+
+#[test]
+fn backends_that_are_gone_are_forgotten() {
+    let fleet = Fleet::new(10, 1, 1, Vec::new());
+    let address = SocketAddr::from(([127, 0, 0, 1], 9));
+    for id in 0..100 {
+        fleet.update(id, address, Readiness::Ready, None);
+        if id % 2 == 0 {
+            fleet.update(id, address, Readiness::Gone, None);
+        } else {
+            fleet.retain(|listed| listed > id);
+        }
+    }
+    assert_eq!(fleet.servers.borrow().len(), 0);
+}
--- a/crates/proxy/src/clients.rs
+++ b/crates/proxy/src/clients.rs
@@ -1,47 +1,45 @@
 //! The clients' side: the listener, requests in, answers out.
 
-use crate::body::{Content, Large, Reserved, Tracked, Upload, exact_size, next_piece};
-use crate::bounds::{BODY_CAP, BODY_MOST, REQUEST_HEAD_CAP};
+mod closing;
+mod inbound;
+mod replies;
+
+use self::closing::{End, linger, part};
+use self::inbound::IDEMPOTENCY_KEY;
+use self::replies::{Rejected, close, failure, plain, refusal};
+use crate::body::{Content, Large, Tracked};
+use crate::bounds::REQUEST_HEAD_CAP;
 use crate::carrier::{Handle, Reply};
 use crate::claim::{Claim, Taken};
-use crate::classes::{Classes, Misfit};
-use crate::exchange::{Call, Payload, join};
+use crate::classes::Classes;
+use crate::exchange::{Call, Payload};
 use crate::lane::{Doing, Lane, LaneIo};
 use crate::log::log;
 use crate::names::Names;
-use crate::pace;
-use bytes::Bytes;
 use haventrack_decision::api::{Micros, RequestId};
 use haventrack_engine::claims;
-use haventrack_engine::engine::{ANSWER_MARGIN, Arrival, Conduct, Overload, Verdict};
+use haventrack_engine::engine::{Arrival, Conduct, Overload, Verdict};
 use haventrack_engine::shell::clock::Clock;
-use haventrack_engine::subject::about;
-use hyper::body::{Body, Incoming};
-use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
+use hyper::body::Incoming;
+use hyper::header::{self, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Request, Response, StatusCode, Uri};
+use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use rustc_hash::{FxHashMap, FxHashSet};
 use slab::Slab;
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
-use std::collections::VecDeque;
 use std::convert::Infallible;
 use std::future::Future;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::Context;
 use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, oneshot, watch};
-use tokio::time::{Instant, sleep, timeout, timeout_at};
+use tokio::time::{Instant, sleep, timeout};
 
-/// How long a closing connection is read on, and how much of it, so that the kernel does not answer late
-/// bytes with a reset that destroys an answer on its way.
-const LINGER: Duration = Duration::from_millis(500);
-const LINGER_BYTES: usize = 4 * BODY_CAP;
 /// How often a connection is looked at: whether its time is over, and, while the proxy ends, whether it can close.
 const LOOK_EVERY: Duration = Duration::from_millis(250);
 const LOOK_AT_END: Duration = Duration::from_millis(25);
@@ -52,18 +50,6 @@
 /// When a client that met a bound of this proxy may try again, microseconds.
 const OVERLOAD_RETRY: Micros = 1_000_000;
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
-/// A time left beyond this makes no sense.
-const MOST_TIME_LEFT_MS: u64 = 3_600_000;
-
-const CORRELATION_ID: HeaderName = HeaderName::from_static("x-correlation-id");
-const SERVICE_CLASS: HeaderName = HeaderName::from_static("x-service-class");
-const ACCOUNT: HeaderName = HeaderName::from_static("x-account");
-const TIME_LEFT: HeaderName = HeaderName::from_static("x-time-left-ms");
-const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
-/// The headers that decide what a request is.
-const ONCE: [HeaderName; 5] = [CORRELATION_ID, SERVICE_CLASS, ACCOUNT, TIME_LEFT, IDEMPOTENCY_KEY];
-const REPEAT: HeaderName = HeaderName::from_static("x-repeat");
-const WEIGHT_HINT: HeaderName = HeaderName::from_static("x-weight-hint");
 
 /// How far the proxy is on its way out.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -76,16 +62,6 @@
     Closing,
 }
 
-/// How a client's connection has to end.
-enum End {
-    /// An answer, or a part of one, may be on its way: what still comes is read, so that no reset destroys it.
-    Answered,
-    /// It was at rest. A request that crosses the close is not read: its client then sends it once more elsewhere.
-    Unasked,
-    /// It makes room at once.
-    Closed,
-}
-
 /// What all client connections share.
 pub struct Clients {
     handle: Handle,
@@ -109,11 +85,6 @@
     claims: Option<claims::Shared>,
 }
 
-/// A request that is answered here because the module can't be asked about it.
-struct Rejected(StatusCode, &'static str);
-
-const TOO_LARGE: Rejected = Rejected(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large\n");
-
 impl Clients {
     /// No connections yet. `held` tells whether a list of backends is held, `most` how many connections may be
     /// open at a time, `large_bodies` how many bytes of large bodies may be kept; `claims` are those that callers outside
@@ -418,110 +389,6 @@
         let Some(terms) = self.classes.borrow().terms(arrival.class) else { return Ok(None) };
         Claim::take(claims, self.clock, id.as_bytes(), arrival.class, key, terms)
     }
-
-    async fn inbound(
-        &self,
-        request: Request<Incoming>,
-        lane: &Lane,
-    ) -> Result<(Arrival<Rc<Call>>, HeaderValue), Rejected> {
-        let (head, body) = request.into_parts();
-        let bad = |why| Rejected(StatusCode::BAD_REQUEST, why);
-        let text = |name| head.headers.get(name).and_then(|v: &HeaderValue| v.to_str().ok());
-        // Rule 2: whoever goes by the length may find a further request in the body.
-        if head.headers.contains_key(header::TRANSFER_ENCODING) && lane.has_length_and_encoding() {
-            return Err(bad("Content-Length beside Transfer-Encoding\n"));
-        }
-        if body.size_hint().lower() > BODY_MOST {
-            return Err(TOO_LARGE);
-        }
-        // Whoever reads the other one of two takes the request for something else.
-        if ONCE.iter().any(|name| head.headers.get_all(name).iter().nth(1).is_some()) {
-            return Err(bad("a header comes twice\n"));
-        }
-        let in_path = head.uri.path().split('/').nth(1).unwrap_or_default();
-        if head.headers.contains_key(SERVICE_CLASS) && text(SERVICE_CLASS) != Some(in_path) {
-            return Err(bad("the class of the header is not that of the path\n"));
-        }
-        let has_key = text(IDEMPOTENCY_KEY).is_some_and(|key| !key.is_empty());
-        let class = self.classes.borrow().find(self.clock.now(), in_path, &head.method, has_key).cloned();
-        let class = class.map_err(|misfit| match misfit {
-            Misfit::Unknown => bad("unknown class\n"),
-            Misfit::Method => Rejected(StatusCode::METHOD_NOT_ALLOWED, "not the method of this class\n"),
-            Misfit::NoKey => bad("Idempotency-Key is missing\n"),
-        })?;
-        let id =
-            head.headers.get(CORRELATION_ID).filter(|_| text(CORRELATION_ID).is_some_and(|t| !t.is_empty()));
-        let id = id.cloned().ok_or(bad("X-Correlation-Id is missing\n"))?;
-        let tenant = match text(ACCOUNT) {
-            _ if self.tenants.is_empty() => 0,
-            account => *account.and_then(|a| self.tenants.get(a)).ok_or(bad("unknown account\n"))?,
-        };
-        // The type's own parser would take a sign.
-        let digits = text(TIME_LEFT).filter(|v| v.bytes().all(|b| b.is_ascii_digit()));
-        let time_left = digits.and_then(|v| v.parse::<u64>().ok());
-        let time_left = time_left.filter(|&ms| ms <= MOST_TIME_LEFT_MS);
-        let patience = time_left.ok_or(bad("X-Time-Left-Ms is missing or makes no sense\n"))? * 1_000;
-        let (class, patience) = (class.place, patience.min(class.deadline));
-        let key = head.uri.query().and_then(about);
-        let work = text(WEIGHT_HINT).and_then(|v| v.trim().parse().ok());
-        let repeat = text(REPEAT) == Some("1");
-        let length = exact_size(&body, &head.headers);
-        let body = self.gather(body, length).await?;
-        // The time of a request counts from its last byte. One that is passed on as it comes has not ended yet.
-        let arrived = self.clock.now();
-        let headers = forwarded(head.headers);
-        let target = origin_form(head.uri).ok_or(bad("the target makes no sense\n"))?;
-        let own = Duration::from_micros(patience.saturating_sub(ANSWER_MARGIN.min(patience / 2)));
-        let patience = match &body {
-            Payload::Whole(_) => patience,
-            Payload::Passed(_) => patience + micros(pace::time_for(length.unwrap_or(BODY_MOST))),
-        };
-        let call = Rc::new(Call { method: head.method, target, headers, body, patience: own });
-        let conduct = Conduct::Carried(call);
-        Ok((Arrival { class, tenant, key, arrived, patience, work, repeat, conduct }, id))
-    }
-
-    /// A request's body: whole where that is small or there is room for it, and otherwise passed on as it comes.
-    async fn gather(&self, mut body: Incoming, length: Option<u64>) -> Result<Payload, Rejected> {
-        if body.is_end_stream() {
-            return Ok(Payload::Whole(Bytes::new()));
-        }
-        let (began, mut size) = (Instant::now(), 0);
-        let (mut pieces, mut room) = (VecDeque::new(), None::<Reserved>);
-        loop {
-            let by = began + pace::time_for(size as u64);
-            let piece = timeout_at(by, next_piece(&mut body)).await;
-            let piece = piece.map_err(|_| Rejected(StatusCode::REQUEST_TIMEOUT, "the body is late\n"))?;
-            let piece = piece.map_err(|_| Rejected(StatusCode::BAD_REQUEST, "the body is broken\n"))?;
-            let Some(piece) = piece else {
-                let whole = join(pieces);
-                return Ok(Payload::Whole(match room {
-                    Some(room) => room.hold(whole),
-                    None => whole,
-                }));
-            };
-            let more = piece.len();
-            size += more;
-            pieces.push_back(piece);
-            if size <= BODY_CAP {
-                continue;
-            }
-            // The whole is joined at the end, so that for a moment there are two of it.
-            let whole = length.map_or(size, |length| usize::try_from(length).unwrap_or(usize::MAX));
-            let kept = whole <= self.large_most
-                && match (&mut room, length) {
-                    (Some(_), Some(_)) => true,
-                    (Some(room), None) => room.grow(2 * more),
-                    (None, _) => {
-                        room = self.large.reserve(2 * whole);
-                        room.is_some()
-                    }
-                };
-            if !kept {
-                return Ok(Payload::Passed(Upload::new(pieces, room, body, length)));
-            }
-        }
-    }
 }
 
 /// Tells the engine when a client leaves while its request is open: its connection then drops the answer's
@@ -564,127 +431,3 @@
         self.ids.borrow_mut().remove(&self.id);
     }
 }
-
-/// Path and query alone, whatever form the target came in: backends are no proxies.
-fn origin_form(target: Uri) -> Option<Uri> {
-    match target.scheme() {
-        None => Some(target),
-        Some(_) => target.into_parts().path_and_query.map(Uri::from),
-    }
-}
-
-fn micros(span: Duration) -> Micros {
-    u64::try_from(span.as_micros()).unwrap_or(u64::MAX)
-}
-
-/// Headers that speak of one connection or of a message's framing.
-const HOP: [HeaderName; 10] = [
-    header::CONNECTION,
-    header::CONTENT_LENGTH,
-    header::EXPECT,
-    header::PROXY_AUTHORIZATION,
-    header::TE,
-    header::TRAILER,
-    header::TRANSFER_ENCODING,
-    header::UPGRADE,
-    HeaderName::from_static("keep-alive"),
-    HeaderName::from_static("proxy-connection"),
-];
-
-/// The headers that go on: all but those that speak of this one connection or of the message's framing.
-fn forwarded(mut headers: HeaderMap) -> HeaderMap {
-    let named = headers.get_all(header::CONNECTION).iter().filter_map(|v| v.to_str().ok());
-    let named: Vec<HeaderName> =
-        named.flat_map(|v| v.split(',')).filter_map(|name| name.trim().parse().ok()).collect();
-    for name in named.iter().filter(|name| **name != CORRELATION_ID && **name != IDEMPOTENCY_KEY) {
-        headers.remove(name);
-    }
-    // Few heads hold any of them; looking is cheaper than taking out what is not there.
-    let hop: Vec<HeaderName> = headers.keys().filter(|name| HOP.contains(name)).cloned().collect();
-    for name in hop {
-        headers.remove(name);
-    }
-    headers
-}
-
-fn plain(status: StatusCode, text: &'static str) -> Response<Content> {
-    let mut response = Response::new(Content::whole(Bytes::from_static(text.as_bytes())));
-    *response.status_mut() = status;
-    response.headers_mut().insert(header::CONTENT_TYPE, HeaderValue::from_static("text/plain"));
-    response
-}
-
-fn failure() -> Response<Content> {
-    plain(StatusCode::BAD_GATEWAY, "failed\n")
-}
-
-fn refusal(retry_after: Micros) -> Response<Content> {
-    let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, "no room\n");
-    if retry_after > 0
-        && let Ok(seconds) = HeaderValue::try_from(format!("{:.3}", retry_after as f64 / 1e6))
-    {
-        response.headers_mut().insert(header::RETRY_AFTER, seconds);
-    }
-    response
-}
-
-fn close(response: &mut Response<Content>) {
-    response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
-}
-
-/// Ends the sending side of a connection that was at rest and waits for the client to end its own. A request that crosses
-/// this stays unread, so that the close resets it and its client knows that it was not taken.
-async fn part(mut stream: TcpStream) {
-    if stream.shutdown().await.is_ok() {
-        let _ = timeout(LINGER, stream.peek(&mut [0])).await;
-    }
-}
-
-/// Ends the sending side and reads what still comes, for a while.
-async fn linger(mut stream: TcpStream) {
-    if stream.shutdown().await.is_err() {
-        return;
-    }
-    let _ = timeout(LINGER, async {
-        let (mut buffer, mut read) = ([0; 2_048], 0);
-        while read < LINGER_BYTES {
-            match stream.read(&mut buffer).await {
-                Ok(0) | Err(_) => return,
-                Ok(n) => read += n,
-            }
-        }
-    })
-    .await;
-}
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    /// Both ends of a connection.
-    async fn pair() -> (TcpStream, TcpStream) {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-        let address = listener.local_addr().expect("an address");
-        let (client, accepted) = tokio::join!(TcpStream::connect(address), listener.accept());
-        (client.expect("it connects"), accepted.expect("it is accepted").0)
-    }
-
-    /// A request that crosses the close of a connection at rest is not read: the client sees that from the reset. Behind an
-    /// answer it is read, so that no reset destroys that answer.
-    #[tokio::test]
-    async fn what_crosses_a_close_at_rest_is_not_read_and_behind_an_answer_it_is() {
-        for at_rest in [true, false] {
-            let (mut client, server) = pair().await;
-            client.write_all(b"GET / HTTP/1.1\r\n\r\n").await.expect("it crosses");
-            server.readable().await.expect("it has come");
-            let ends = async { if at_rest { part(server).await } else { linger(server).await } };
-            let reads = async {
-                assert_eq!(client.read(&mut [0; 8]).await.expect("an end"), 0);
-                let _ = client.shutdown().await;
-            };
-            tokio::join!(ends, reads);
-            let reset = SockRef::from(&client).take_error().expect("a socket").is_some();
-            assert_eq!(reset, at_rest);
-        }
-    }
-}
--- /dev/null
+++ b/crates/proxy/src/lane/tests.rs
@@ -0,0 +1,55 @@
+use super::*;
+
+#[test]
+fn time_counts_from_what_was_last_heard() {
+    let began = Instant::now();
+    let lane = Lane::new(began);
+    let at = |ms: u64| began + Duration::from_millis(ms);
+    assert!(!lane.is_over(at(2_400)) && lane.is_over(at(2_500)));
+    // It rested for 2.4 s, and now has its whole time for a head.
+    lane.heard(b"GE", at(2_400));
+    lane.heard(b"T /", at(4_000));
+    assert_eq!(lane.doing(), Doing::Heading);
+    assert!(!lane.is_over(at(4_800)) && lane.is_over(at(4_900)));
+    lane.asks(at(4_800));
+    assert!(!lane.is_over(at(60_000)), "an open request has its own times");
+    lane.answered(at(60_000));
+    assert!(!lane.is_over(at(62_400)) && lane.is_over(at(62_500)));
+}
+
+#[test]
+fn the_longest_at_rest_gives_way_first_and_an_open_request_never() {
+    let began = Instant::now();
+    let lanes: Vec<_> = (0..4).map(|n| Lane::new(began + Duration::from_secs(n))).collect();
+    lanes[0].heard(b"G", began + Duration::from_secs(5));
+    lanes[3].asks(began + Duration::from_secs(6));
+    let first = |secs: u64| {
+        let now = began + Duration::from_secs(secs);
+        let all = (0..4).filter_map(|n| Some((lanes[n].gives_way(now)?, n)));
+        all.min().map(|(_, n)| n)
+    };
+    assert_eq!(first(6), Some(1));
+    lanes[1].asks(began);
+    assert_eq!(first(8), Some(2));
+    lanes[2].turn(Doing::Resting, began + Duration::from_secs(8));
+    assert_eq!(first(8), Some(0), "its head takes too long, the other has just come");
+    lanes[2].asks(began);
+    assert_eq!(first(6), Some(0));
+    lanes[0].asks(began);
+    assert_eq!(first(9), None);
+}
+
+#[test]
+fn a_length_beside_an_encoding_is_seen_in_either_order_and_only_in_the_head() {
+    let seen = |text: &str| {
+        let lane = Lane::new(Instant::now());
+        text.as_bytes().chunks(7).for_each(|piece| lane.heard(piece, Instant::now()));
+        lane.has_length_and_encoding()
+    };
+    let (length, encoding) = ("Content-Length: 5\r\n", "transfer-encoding: chunked\r\n");
+    assert!(seen(&format!("POST / HTTP/1.1\r\n{length}{encoding}\r\n")));
+    assert!(seen(&format!("POST / HTTP/1.1\r\n{encoding}A: b\r\n{length}\r\n")));
+    assert!(!seen(&format!("POST / HTTP/1.1\r\n{encoding}\r\n1c\r\n{length}\r\n0\r\n\r\n")));
+    assert!(!seen(&format!("POST / HTTP/1.1\r\n{length}\r\nhello")));
+    assert!(!seen(&format!("POST / HTTP/1.1\r\n{encoding}X-Content-Length: 5\r\n\r\n")));
+}
