A client's socket is asked right before each attempt: none begins once it has left

Seen by tests that force it: a process that stood for a second sent a further attempt for a client that had left (a stop ends epoll's wait with EINTR, so that the time-out of the first attempt was told before the close); a connection that came up while the process stood carried the request of a client that had left (6 of 6: the write is two tasks behind the dial, the close three); a held request whose client left behind unread bytes was sent once there was room (8 of 12: the close was looked for each 250 ms). Ruled out by tests that held: errors, resets, refusals, held requests, pipelined ones, the listener's queue.

Fleet::attempt now asks before it begins and again when a dial has come up (lane::Asker). A look holds for 5 ms, so that the usual first attempt, which starts in the turn in which its request was looked at, costs no system call more. The look each 250 ms stays as it was: it only frees room.

The bound of the older tests is 0.1 s instead of 0.3 s.

--- a/crates/program/tests/proxy/leaving.rs
+++ b/crates/program/tests/proxy/leaving.rs
@@ -1,28 +1,31 @@
 //! Clients that leave while their request waits: it is not sent on.
 
-use crate::UP;
 use crate::rig::*;
+use crate::{UP, fill, full_backend};
 use socket2::SockRef;
 use std::io::BufReader;
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::mpsc::channel;
 use std::time::{Duration, Instant};
 
-/// How long after its client left a request may still be sent on.
-const SENT_ON: Duration = Duration::from_millis(300);
+/// How long after its client left an attempt, first or further, may still begin.
+pub const BOUND: Duration = Duration::from_millis(100);
 /// When a connection that found its backend's queue full has been tried again.
-const RETRIED: Duration = Duration::from_millis(1_300);
+pub const RETRIED: Duration = Duration::from_millis(1_300);
 const CLASSES: [&str; 3] = ["read", "submit", "charge"];
 
 /// A backend to which connections come up only when its queue is emptied.
-struct Slow {
+pub struct Slow {
     listener: TcpListener,
-    address: SocketAddr,
+    pub address: SocketAddr,
     _filler: TcpStream,
 }
 
 impl Slow {
-    fn start() -> Self {
+    pub fn start() -> Self {
         let (listener, filler) = full_listener();
+        // Ends a test in which nobody connects any more.
+        SockRef::from(&listener).set_read_timeout(Some(PATIENCE)).expect("a time-out");
         let address = listener.local_addr().expect("an address");
         Self { listener, address, _filler: filler }
     }
@@ -62,14 +65,14 @@
 
 /// Answers on other connections show that the proxy has seen what came before them. One alone may have been found in the
 /// same look at the sockets.
-fn settle(proxy: &Proxy) {
+pub fn settle(proxy: &Proxy) {
     (0..10).for_each(|_| assert_eq!(proxy.client().ask(UP).status(), 200));
 }
 
 /// Asks on until a request of a client that left now may not be sent on any more.
 fn pass_the_bound(proxy: &Proxy) {
     let left = Instant::now();
-    while left.elapsed() < SENT_ON {
+    while left.elapsed() < BOUND {
         settle(proxy);
     }
 }
@@ -216,3 +219,118 @@
     assert_eq!(backend.next().header("idempotency-key"), Some("first"));
     release.send(()).expect("the backend waits");
 }
+
+/// The connection came up and the client left, both while the process stood: it finds both in the same look.
+#[test]
+fn a_connection_that_came_up_while_the_process_stood_carries_nothing_of_a_client_that_left_meanwhile() {
+    let mut broken = Vec::new();
+    for (class, leaves_first) in CLASSES.into_iter().flat_map(|class| [(class, false), (class, true)]) {
+        let (discovery, slow) = (Discovery::start(), Slow::start());
+        let name = format!("left-dialled-{class}-{leaves_first}");
+        let proxy = Proxy::start(&name, &discovery, &[entry("s-1", slow.address, "active", 0)]);
+        let mut leaver = proxy.client();
+        leaver.send(&request(class, "leaver", if class == "read" { "" } else { "x" }));
+        settle(&proxy);
+        proxy.signal("-STOP");
+        let mut leaver = Some(leaver);
+        if leaves_first {
+            drop(leaver.take());
+        }
+        drop(slow.listener.accept().expect("the filler"));
+        let (came_up, _) = slow.listener.accept().expect("the connection that was tried again");
+        drop(leaver);
+        std::thread::sleep(BOUND);
+        proxy.signal("-CONT");
+        let mut stays = proxy.client();
+        stays.send(&request("read", "stays", ""));
+        // The connection may be kept for whoever comes next, or may have been closed.
+        let first = Slow::sent_on(&came_up)
+            .or_else(|| Slow::sent_on(&slow.listener.accept().expect("another connection").0));
+        if first.as_deref() != Some("stays") {
+            broken.push((class, leaves_first, first));
+        }
+    }
+    assert!(broken.is_empty(), "{broken:?}");
+}
+
+/// Further requests stand behind the open one, few or more than is read ahead; the answer to that is small, or so large
+/// that it is passed on and never taken.
+#[test]
+fn of_several_requests_on_a_connection_none_begins_once_its_client_has_left() {
+    for (name, padding, size, stands) in [
+        ("several", 0, 5, false),
+        ("several-stood", 0, 5, true),
+        ("several-far", 20_000, 5, false),
+        ("several-far-stood", 20_000, 5, true),
+        ("several-passing", 0, 8_000_000, false),
+        ("several-passing-stood", 0, 8_000_000, true),
+    ] {
+        let discovery = Discovery::start();
+        let (release, word) = channel();
+        let mut word = Some(word);
+        let backend = Backend::start(move |_| match word.take() {
+            Some(word) => Reply::After(word, Box::new(Reply::Write(answer("200 OK", "", &vec![b'z'; size])))),
+            None => ok("there"),
+        });
+        let proxy = Proxy::start(name, &discovery, &[entry("s-1", backend.address, "active", 0)]);
+        let mut leaver = proxy.client();
+        leaver.send(&request("charge", "open", "x"));
+        backend.next();
+        (0..3).for_each(|n| leaver.send(&request("charge", &format!("behind-{n}"), &"y".repeat(padding))));
+        settle(&proxy);
+        if stands {
+            proxy.signal("-STOP");
+        }
+        drop(leaver);
+        std::thread::sleep(BOUND);
+        release.send(()).expect("the backend waits");
+        std::thread::sleep(BOUND);
+        proxy.signal("-CONT");
+        settle(&proxy);
+        assert_eq!(proxy.client().ask(&request("charge", "stays", "x")).status(), 200);
+        assert_eq!(backend.next().header("x-correlation-id"), Some("stays"), "{name}");
+        assert_eq!(backend.rest(), 0, "{name}");
+    }
+}
+
+/// Answers that are being passed on hold their clients' connections, and beyond the cap others wait in the kernel's queue:
+/// whoever wrote and left there is not sent on once there is room.
+#[test]
+fn a_client_that_left_in_the_listeners_queue_is_not_sent_on() {
+    let discovery = Discovery::start();
+    let (backend, releases) = full_backend();
+    let mut config = config("left-queued", &discovery);
+    config["limits"]["sockets"] = 48.into();
+    let proxy = Proxy::start_with("left-queued", config);
+    discovery.post(true, &[entry("s-1", backend.address, "active", 0)]);
+    let mut first = fill(&proxy, &backend);
+    // Open requests never make room; those that find none in the backend wait for it.
+    let waiting: Vec<_> = (0..48)
+        .map(|n| {
+            let mut client = proxy.client();
+            client.send(&request("read", &format!("waits-{n}"), ""));
+            client
+        })
+        .collect();
+    std::thread::sleep(BOUND);
+    let leavers = (0..6).map(|n| {
+        let mut leaver = proxy.client();
+        leaver.send(&request("charge", &format!("leaver-{n}"), "x"));
+        leaver
+    });
+    drop(leavers.collect::<Vec<_>>());
+    std::thread::sleep(BOUND);
+    for (release, client) in releases.iter().zip(first.iter_mut().rev()) {
+        release.send(()).expect("the backend waits");
+        assert_eq!(client.receive().status(), 200);
+    }
+    drop(first);
+    waiting.into_iter().for_each(|mut client| assert!(matches!(client.receive().status(), 200 | 503)));
+    assert_eq!(proxy.client().ask(&request("charge", "stays", "x")).status(), 200);
+    let ids: Vec<_> = backend
+        .seen
+        .try_iter()
+        .map(|seen| seen.header("x-correlation-id").expect("an id").to_owned())
+        .collect();
+    assert!(ids.iter().all(|id| !id.starts_with("leaver")), "{ids:?}");
+}
--- a/crates/program/tests/proxy/main.rs
+++ b/crates/program/tests/proxy/main.rs
@@ -2,6 +2,7 @@
 
 mod crossings;
 mod ending;
+mod further;
 mod leaving;
 mod list;
 mod outage;
--- a/crates/proxy/src/backends.rs
+++ b/crates/proxy/src/backends.rs
@@ -297,7 +297,7 @@
         recall: Rc<Recall>,
     ) -> Ended {
         // Its client may have left in the same turn.
-        if recall.is_unwanted() {
+        if recall.is_unwanted() || call.is_forsaken().await {
             return Outcome::Moot.into();
         }
         let conn = match self.take_idle(&server) {
@@ -316,6 +316,11 @@
         if !server.ready.get() || conn.life != server.life.get() {
             return Outcome::Moot.into();
         }
+        // While the connection came up, the client may have left, and nobody here has heard of it yet.
+        if call.is_forsaken().await {
+            self.keep(&server, conn);
+            return Outcome::Moot.into();
+        }
         let began = Instant::now();
         let left = give_up.saturating_duration_since(began).min(call.patience);
         if left < Duration::from_millis(1) || call.body.is_spent() {
@@ -417,7 +422,7 @@
         let target = Uri::from_static(if deep { "/metrics/load" } else { "/alive" });
         let body = Payload::Whole(Bytes::new());
         let headers = HeaderMap::new();
-        let call = Call { method: Method::GET, target, headers, body, patience: PROBE_TIMEOUT };
+        let call = Call { method: Method::GET, target, headers, body, patience: PROBE_TIMEOUT, asker: None };
         let request = request(&call, server.address.get(), PROBE_TIMEOUT);
         match timeout_at(until, exchange(&mut conn.sender, request)).await {
             Err(_) => Outcome::Timeout.into(),
--- a/crates/proxy/src/clients.rs
+++ b/crates/proxy/src/clients.rs
@@ -13,7 +13,7 @@
 use crate::claim::{Claim, Taken};
 use crate::classes::Classes;
 use crate::exchange::{Call, Payload};
-use crate::lane::{Doing, Lane, LaneIo};
+use crate::lane::{Asker, Doing, Lane, LaneIo};
 use crate::log::log;
 use crate::names::Names;
 use haventrack_decision::api::{Micros, RequestId};
@@ -278,13 +278,13 @@
     async fn respond(
         &self,
         request: Request<Incoming>,
-        lane: &Lane,
-        stream: &RefCell<TcpStream>,
+        lane: &Rc<Lane>,
+        stream: &Rc<RefCell<TcpStream>>,
     ) -> Response<Content> {
         let mut response = if request.uri().path() == "/up" {
             self.up()
         } else {
-            let answered = match self.inbound(request, lane).await {
+            let answered = match self.inbound(request, lane, Asker::new(lane, stream)).await {
                 Ok((arrival, id)) => {
                     // It may have written, and left, while it stood in the kernel's queue or this process stood.
                     match &arrival.conduct {
--- a/crates/proxy/src/clients/inbound.rs
+++ b/crates/proxy/src/clients/inbound.rs
@@ -6,7 +6,7 @@
 use crate::bounds::{BODY_CAP, BODY_MOST};
 use crate::classes::Misfit;
 use crate::exchange::{Call, Payload, join};
-use crate::lane::Lane;
+use crate::lane::{Asker, Lane};
 use crate::pace;
 use bytes::Bytes;
 use haventrack_decision::api::Micros;
@@ -38,6 +38,7 @@
         &self,
         request: Request<Incoming>,
         lane: &Lane,
+        asker: Asker,
     ) -> Result<(Arrival<Rc<Call>>, HeaderValue), Rejected> {
         let (head, body) = request.into_parts();
         let bad = |why| Rejected(StatusCode::BAD_REQUEST, why);
@@ -91,7 +92,8 @@
             Payload::Whole(_) => patience,
             Payload::Passed(_) => patience + micros(pace::time_for(length.unwrap_or(BODY_MOST))),
         };
-        let call = Rc::new(Call { method: head.method, target, headers, body, patience: own });
+        let call =
+            Rc::new(Call { method: head.method, target, headers, body, patience: own, asker: Some(asker) });
         let conduct = Conduct::Carried(call);
         Ok((Arrival { class, tenant, key, arrived, patience, work, repeat, conduct }, id))
     }
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -2,6 +2,7 @@
 
 use crate::body::{Outgoing, Upload, exact_size, next_piece};
 use crate::bounds::{BODY_CAP, BODY_MOST};
+use crate::lane::Asker;
 use bytes::{Bytes, BytesMut};
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::SendRequest;
@@ -57,6 +58,18 @@
     pub body: Payload,
     /// How long the client waits from the last byte of its request on.
     pub patience: Duration,
+    /// Whoever asked, where it is a client; a probe has none.
+    pub asker: Option<Asker>,
+}
+
+impl Call {
+    /// Whether nobody waits for the answer any more. Asked right before an attempt begins.
+    pub async fn is_forsaken(&self) -> bool {
+        match &self.asker {
+            Some(asker) => asker.has_left().await,
+            None => false,
+        }
+    }
 }
 
 /// A backend's 200 answer.
--- a/crates/proxy/src/lane.rs
+++ b/crates/proxy/src/lane.rs
@@ -8,7 +8,7 @@
 use std::io;
 use std::mem::MaybeUninit;
 use std::pin::Pin;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
@@ -33,6 +33,10 @@
 const KEPT: usize = crate::bounds::REQUEST_HEAD_CAP;
 /// The bytes that are read ahead while a request is open, so that its client's leaving is seen behind them.
 const AHEAD: usize = crate::bounds::REQUEST_HEAD_CAP;
+/// For how long a look that found the client there is good enough for an attempt to begin: the first one begins in the turn
+/// in which its request was looked at, and one more system call for each request would be for nothing. A twentieth of the
+/// time after which an attempt may not begin any more.
+const LOOK_HOLDS: Duration = Duration::from_millis(5);
 /// The bytes that are read ahead at a time.
 const AHEAD_STEP: usize = 2_048;
 
@@ -63,6 +67,8 @@
     whole: Cell<bool>,
     /// What was read of the next requests.
     ahead: RefCell<VecDeque<u8>>,
+    /// When the kernel was last asked whether the client has left.
+    looked: Cell<Option<Instant>>,
     /// The client has left, and who waits to hear of it.
     left: Cell<bool>,
     leaves: Notify,
@@ -82,6 +88,7 @@
             asked: Cell::new(false),
             whole: Cell::new(false),
             ahead: RefCell::default(),
+            looked: Cell::new(None),
             left: Cell::new(false),
             leaves: Notify::new(),
             closes: Notify::new(),
@@ -149,7 +156,12 @@
 
     /// Reads ahead what the kernel has, whether or not the runtime has been told of it.
     pub fn look_ahead(&self, stream: &TcpStream) {
-        while self.listens() && self.read_ahead(stream).is_ok() {}
+        while self.listens() {
+            if self.read_ahead(stream).is_err() {
+                self.looked.set(Some(Instant::now()));
+                return;
+            }
+        }
     }
 
     /// Reads ahead what comes while a request is open, so that the end of the client's sending is seen: the HTTP library
@@ -269,6 +281,44 @@
     matches!(polled, Poll::Ready(Ok(ready)) if ready.is_read_closed())
 }
 
+/// The client of an open request, as its connection shows it. It does not keep the connection.
+#[derive(Debug)]
+pub struct Asker {
+    lane: Rc<Lane>,
+    stream: Weak<RefCell<TcpStream>>,
+}
+
+impl Asker {
+    /// The client on this connection.
+    #[must_use]
+    pub fn new(lane: &Rc<Lane>, stream: &Rc<RefCell<TcpStream>>) -> Self {
+        Self { lane: Rc::clone(lane), stream: Rc::downgrade(stream) }
+    }
+
+    /// Whether the client has left by now. The runtime may not have heard yet what the kernel knows: after a process stood,
+    /// timers are told first, and a connection that has come up is used in the turn in which the close is heard.
+    pub async fn has_left(&self) -> bool {
+        let lane = &self.lane;
+        if lane.has_left() || lane.looked.get().is_some_and(|at| at.elapsed() < LOOK_HOLDS) {
+            return lane.has_left();
+        }
+        match self.stream.upgrade() {
+            None => return true,
+            Some(stream) => lane.look_ahead(&stream.borrow()),
+        }
+        if !lane.listens() {
+            // Only the runtime is told of an end behind unread bytes: it asks the kernel before this task has its turn again.
+            tokio::task::yield_now().await;
+            match self.stream.upgrade() {
+                None => return true,
+                Some(stream) => lane.look_behind(&stream.borrow()),
+            }
+            lane.looked.set(Some(Instant::now()));
+        }
+        lane.has_left()
+    }
+}
+
 /// A client's socket that tells its lane what passes.
 pub struct LaneIo {
     stream: Rc<RefCell<TcpStream>>,
