Tests: idle clients fill 256 descriptors while discovery is down

Three tests keep it so, asked and pushed, with discovery that says nothing or refuses, with idle clients and such that sent half a head, with the console, and with a replacement started meanwhile. Each crowd of 356 comes twice or three times, and at least 100 of the first are asked to go.

Where discovery is asked and silent, a process that starts into the outage says that it is ready only once its first call has failed, while it serves from the list that it knew.

--- /dev/null
+++ b/crates/program/tests/proxy/crowd.rs
@@ -0,0 +1,217 @@
+//! Idle clients take every descriptor while discovery is down: others are served, the staff is answered, a replacement gets
+//! ready, and the list comes at discovery's return.
+
+use crate::rig::*;
+use serde_json::{Value, json};
+use std::io::{BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::mpsc::{Receiver, channel};
+use std::time::{Duration, Instant};
+use std::{fs, thread};
+
+/// What the kernel gives the proxy.
+const DESCRIPTORS: usize = 256;
+/// Clients that say nothing, or not enough: 100 more than that.
+const CROWD: usize = 356;
+/// New clients that ask while the crowd is there.
+const ASKING: usize = 10;
+
+/// Discovery that says nothing until it is back, and from then on tells its list. It answers no call that came before.
+struct Outage {
+    address: SocketAddr,
+    back: Arc<AtomicBool>,
+    /// That the list went out.
+    told: Receiver<()>,
+}
+
+impl Outage {
+    /// `refuses`: while it is down it closes each connection at once, and else it takes calls and says nothing.
+    fn start(list: Value, refuses: bool) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let back = Arc::new(AtomicBool::new(false));
+        let ((tell, told), is_back) = (channel(), Arc::clone(&back));
+        thread::spawn(move || {
+            for stream in listener.incoming() {
+                let Ok(stream) = stream else { return };
+                let (tell, list, is_back) = (tell.clone(), list.clone(), Arc::clone(&is_back));
+                if refuses && !is_back.load(Ordering::SeqCst) {
+                    continue;
+                }
+                thread::spawn(move || {
+                    let mut reader = BufReader::new(stream.try_clone().expect("a clone"));
+                    let mut silent = false;
+                    while let Some(call) = read_message(&mut reader) {
+                        // A watch that knows the list has nothing to hear.
+                        silent |= !is_back.load(Ordering::SeqCst) || call.first_line().contains("after=9");
+                        if !silent {
+                            let text = list.to_string();
+                            write(&stream, &answer("200 OK", "", text.as_bytes()));
+                            let _ = tell.send(());
+                        }
+                    }
+                });
+            }
+        });
+        Self { address, back, told }
+    }
+
+    fn returns(&self) {
+        self.back.store(true, Ordering::SeqCst);
+        self.told.recv_timeout(PATIENCE).expect("it is asked, and answers");
+    }
+}
+
+fn folder(name: &str) -> PathBuf {
+    let path = std::env::temp_dir().join(format!("haventrack-crowd-{}-{name}", std::process::id()));
+    let _ = fs::remove_dir_all(&path);
+    fs::create_dir_all(&path).expect("a folder");
+    path
+}
+
+fn call(console: SocketAddr, line: &str) -> String {
+    let mut stream = TcpStream::connect(console).expect("the console accepts");
+    stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+    stream.write_all(line.as_bytes()).expect("the console reads");
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).expect("one answer");
+    answer
+}
+
+/// Within its second, as its users are told.
+fn is_ready(console: SocketAddr) -> bool {
+    let began = Instant::now();
+    let answer = call(console, "readyz\n");
+    assert!(began.elapsed() < Duration::from_secs(1), "{:?}", began.elapsed());
+    answer.starts_with("SUCCESS")
+}
+
+/// Where discovery is asked, the list that was known serves at once, and makes ready once the first call has failed.
+fn wait_until_ready(console: SocketAddr, name: &str) {
+    let began = Instant::now();
+    while !is_ready(console) {
+        assert!(began.elapsed() < PATIENCE, "{name}: it does not get ready");
+        thread::yield_now();
+    }
+}
+
+/// The whole crowd, which stays for as long as this is kept. Who is asked to go may be gone before it has said a word.
+fn crowd(address: SocketAddr, says: &str) -> Vec<TcpStream> {
+    let come = |_| {
+        let mut stream = TcpStream::connect(address).expect("the kernel completes it");
+        let _ = stream.write_all(says.as_bytes());
+        stream
+    };
+    (0..CROWD).map(come).collect()
+}
+
+/// How many of a crowd have been asked to go.
+fn gone(crowd: &[TcpStream]) -> usize {
+    let has_ended = |stream: &&TcpStream| {
+        stream.set_nonblocking(true).expect("it does not wait");
+        !stream.peek(&mut [0]).is_err_and(|error| error.kind() == std::io::ErrorKind::WouldBlock)
+    };
+    crowd.iter().filter(has_ended).count()
+}
+
+/// Who answers new clients, each on a connection of its own.
+fn answers(address: SocketAddr, name: &str) -> Vec<String> {
+    let ask = |n| {
+        let got = Client::connect(address).ask(&request("read", &format!("{name}-{n}"), ""));
+        format!("{} {}", got.status(), String::from_utf8_lossy(&got.body))
+    };
+    (0..ASKING).map(ask).collect()
+}
+
+fn all(answer: &str) -> Vec<String> {
+    vec![answer.to_owned(); ASKING]
+}
+
+/// Asks until the new list serves: the process may not have read it yet.
+fn wait_for_new(address: SocketAddr, name: &str) {
+    let began = Instant::now();
+    for n in 0.. {
+        let got = Client::connect(address).ask(&request("read", &format!("{name}-{n}"), ""));
+        if got.body == b"new" {
+            return;
+        }
+        assert!(began.elapsed() < PATIENCE, "still {}", got.head);
+    }
+}
+
+fn one_case(mode: &str, says: &str, refuses: bool, replaced: bool) {
+    let name = format!("crowd-{mode}-{}-{refuses}-{replaced}", says.len());
+    let (old, new) = (Backend::start(|_| ok("old")), Backend::start(|_| ok("new")));
+    let (before, left) = (entry("s-1", old.address, "active", 0), entry("s-1", old.address, "left", 0));
+    let fresh = entry("s-2", new.address, "active", 0);
+    let discovery =
+        Outage::start(json!({"revision": 9, "complete": true, "members": [left, fresh]}), refuses);
+    let config = |listen: Option<SocketAddr>| {
+        let mut config = json!({"name": name, "listen": "127.0.0.1:0", "console": "127.0.0.1:0",
+            "discovery": discovery.address.to_string(), "seed": "8c1f30d27a5be964",
+            "limits": {"cores": 1.0, "memory_mb": 32, "sockets": DESCRIPTORS}, "settings": settings(),
+            "known": {"revision": 1, "complete": true, "members": [before]}});
+        config["settings"]["membershipMode"] = mode.into();
+        if let Some(listen) = listen {
+            config["listen"] = listen.to_string().into();
+        }
+        config
+    };
+    let folder = folder(&name);
+    let (mut proxy, console) = Proxy::start_limited_in(&folder, "first", &config(None), DESCRIPTORS);
+    let address = proxy.address;
+    wait_until_ready(console, &name);
+    let first = crowd(address, says);
+    assert_eq!(answers(address, "down"), all("200 old"), "{name}");
+    assert!(gone(&first) >= CROWD - DESCRIPTORS, "{name}: the shortage was there");
+    assert!(is_ready(console), "{name}");
+    let second = crowd(address, says);
+    let successor = replaced.then(|| {
+        let (successor, console) =
+            Proxy::start_limited_in(&folder, "next", &config(Some(address)), DESCRIPTORS);
+        wait_until_ready(console, &name);
+        let third = crowd(address, says);
+        proxy.terminate();
+        assert!(proxy.wait().success(), "{name}: the old one ends");
+        assert_eq!(answers(address, "next"), all("200 old"), "{name}");
+        (successor, console, third)
+    });
+    discovery.returns();
+    wait_for_new(address, "back");
+    assert_eq!(answers(address, "told"), all("200 new"), "{name}");
+    assert!(is_ready(successor.as_ref().map_or(console, |(_, console, _)| *console)), "{name}");
+    drop((first, second, successor));
+    let _ = fs::remove_dir_all(folder);
+}
+
+/// A part of a head, as clients send that then fall silent.
+fn half() -> String {
+    request("read", "half", "")[..40].to_owned()
+}
+
+#[test]
+fn an_idle_crowd_keeps_neither_clients_nor_the_list_out() {
+    for refuses in [false, true] {
+        one_case("pushed", "", refuses, false);
+        one_case("on_request", "", refuses, false);
+    }
+}
+
+#[test]
+fn a_crowd_that_sent_half_a_head_keeps_neither_clients_nor_the_list_out() {
+    for refuses in [false, true] {
+        one_case("pushed", &half(), refuses, false);
+        one_case("on_request", &half(), refuses, false);
+    }
+}
+
+#[test]
+fn a_replacement_gets_ready_beside_a_crowd_and_the_old_process_ends() {
+    for mode in ["pushed", "on_request"] {
+        one_case(mode, "", false, true);
+        one_case(mode, &half(), false, true);
+    }
+}
--- a/crates/program/tests/proxy/main.rs
+++ b/crates/program/tests/proxy/main.rs
@@ -1,6 +1,7 @@
 //! The proxy's program over loopback sockets: what must hold whatever backends and clients do.
 
 mod crossings;
+mod crowd;
 mod ending;
 mod further;
 mod leaving;
--- a/crates/program/tests/proxy/rig.rs
+++ b/crates/program/tests/proxy/rig.rs
@@ -360,6 +360,25 @@
         Self { child, address, name: name.into(), log }
     }
 
+    /// A proxy with a console, and where that is, to which the kernel gives so many descriptors and no more.
+    pub fn start_limited_in(
+        folder: &Path,
+        name: &str,
+        config: &Value,
+        descriptors: usize,
+    ) -> (Self, SocketAddr) {
+        let path = folder.join(format!("{name}.json"));
+        fs::write(&path, config.to_string()).expect("the configuration is written");
+        let mut command = Command::new("sh");
+        command.args(["-c", &format!("ulimit -n {descriptors}; exec \"$0\"")]);
+        command.arg(env!("CARGO_BIN_EXE_haventrack-proxy")).env("EDGE_CONFIG", path).env("TMPDIR", folder);
+        let mut child = command.stderr(Stdio::piped()).spawn().expect("the program starts");
+        let mut log = BufReader::new(child.stderr.take().expect("standard error"));
+        let address = told(&mut log, "listens on ");
+        let console = told(&mut log, "answers its staff on ");
+        (Self { child, address, name: name.into(), log }, console)
+    }
+
     /// A proxy with a console, and where that is.
     pub fn start_in(folder: &Path, name: &str, config: &Value) -> (Self, SocketAddr) {
         let mut child = launch_in(folder, name, &config.to_string());
