--- a/crates/program/tests/proxy/crossings.rs
+++ b/crates/program/tests/proxy/crossings.rs
@@ -192,3 +192,77 @@
         connections.recv_timeout(PATIENCE).expect("the second answer is written");
     }
 }
+
+/// An idle time of the backends that is shorter than the margin which is kept from it: half of it is used, and a connection
+/// that has rested for longer never is.
+#[test]
+fn a_connection_beyond_an_idle_limit_below_the_margin_is_not_used_again() {
+    const IDLE: Duration = Duration::from_millis(800);
+    let discovery = Discovery::start();
+    let backend = Backend::start(|_| ok("there"));
+    let mut config = config("short-idle", &discovery);
+    config["settings"]["permissions"]["connIdleUs"] = 800_000.into();
+    let proxy = Proxy::start_with("short-idle", config);
+    discovery.post(true, &[entry("s-1", backend.address, "active", 0)]);
+    let ask = |id: &str| {
+        assert_eq!(proxy.client().ask(&request("charge", id, "x")).status(), 200);
+        backend.next().connection
+    };
+    let mut used = 0;
+    for turn in 0..3 {
+        let began = std::time::Instant::now();
+        let (first, second) = (ask(&format!("a-{turn}")), ask(&format!("b-{turn}")));
+        // A busy machine may have taken longer than that between the two.
+        let quick = began.elapsed() < IDLE / 2;
+        assert!(!quick || first == second, "it rested for less");
+        used += usize::from(quick);
+        thread::sleep(IDLE / 2);
+        assert!(ask(&format!("c-{turn}")) > second, "it rested for half of the time");
+    }
+    assert!(used > 0, "the machine is too busy to tell");
+}
+
+/// A class that may be repeated becomes unsafe while a request of it is out. That request goes on by the rules that it came
+/// under; whatever comes from then on is sent once.
+#[test]
+fn a_class_that_turns_unsafe_between_two_attempts_binds_what_comes_from_then_on() {
+    let discovery = Discovery::start();
+    let (release, word) = channel::<()>();
+    let word = std::sync::Arc::new(std::sync::Mutex::new(Some(word)));
+    let backends = [0, 1].map(|_| {
+        let word = std::sync::Arc::clone(&word);
+        Backend::start(move |seen| {
+            let breaks = || Box::new(Reply::WriteAndClose(Vec::new()));
+            match seen.header("x-correlation-id") {
+                Some("before") => match word.lock().expect("a word").take() {
+                    Some(word) => Reply::After(word, breaks()),
+                    None => ok("again"),
+                },
+                Some("after") => *breaks(),
+                _ => ok("there"),
+            }
+        })
+    });
+    let proxy_config = config("turns-unsafe", &discovery);
+    let mut proxy = Proxy::start_with("turns-unsafe", proxy_config.clone());
+    discovery.post(true, &[0, 1].map(|i| entry(&format!("s-{i}"), backends[i].address, "active", 0)));
+    let mut before = proxy.client();
+    before.send(&request("submit", "before", "x"));
+    while word.lock().expect("a word").is_some() {
+        thread::yield_now();
+    }
+    let mut changed = proxy_config;
+    changed["settings"]["classes"][1]["effect"] = "fragile".into();
+    proxy.reload(&changed.to_string());
+    proxy.wait_for_log("read the configuration again");
+    release.send(()).expect("the backend waits");
+    assert_eq!(before.receive().body, b"again", "it came under a key");
+    // Without a key it fits only what the class is now.
+    let after = request("submit", "after", "x").replace("Idempotency-Key: after\r\n", "");
+    assert_eq!(proxy.client().ask(&after).status(), 502, "it may have run");
+    assert_eq!(proxy.client().ask(&request("read", "last", "")).status(), 200);
+    let seen = backends.iter().flat_map(|b| b.seen.try_iter());
+    let ids: Vec<_> = seen.filter_map(|seen| seen.header("x-correlation-id").map(str::to_owned)).collect();
+    let copies = |wanted: &str| ids.iter().filter(|id| *id == wanted).count();
+    assert_eq!((copies("before"), copies("after")), (2, 1), "{ids:?}");
+}
--- a/crates/proxy/src/backends/tests.rs
+++ b/crates/proxy/src/backends/tests.rs
@@ -24,3 +24,14 @@
     }
     assert_eq!(fleet.servers.borrow().len(), 0);
 }
+
+/// Backends' clocks started earlier: at least a second is kept, or half of what they keep where that is less.
+#[test]
+fn a_connection_is_never_used_in_the_last_part_of_its_idle_time_however_short_that_is() {
+    for (ms, used_ms) in
+        [(0, 0), (1, 0), (600, 300), (1_000, 500), (1_500, 750), (2_000, 1_000), (15_000, 14_000)]
+    {
+        let limit = idle_limit(ms * 1_000);
+        assert!(limit.as_millis() == used_ms, "{ms}: {limit:?}");
+    }
+}
