Laboratory: sums at cold backends, an asked discovery for all, readiness of restarts

Need: three terms that hold from now on had no test that forces them: cold backends under the sum of what thirty processes send, readiness of restarted processes, and a discovery service that all ask was no stand-in.

Change: `cold_sums` (pure) gives the fullest window of `fallUs` at each cold backend in parts of N + 2 root N + 2, with what was refused meanwhile; rows have both. `[discovery] mode = "asked"` plays one service that takes calls in turn and fails those that waited (`call_queue`, pure). A `stall` may come again (`every_s`): nine tenths of each tenth of a second leave a process a tenth of a core. Planted faults: `told_cold_s` (wrong budgets), a service of 2 s a call, records with one request more.

--- a/crates/rig/src/fleet/day.rs
+++ b/crates/rig/src/fleet/day.rs
@@ -4,9 +4,11 @@
 use super::processes::{END_WITHIN, Folder, Machine, Place, Process, cpu_s};
 use super::relay::{self, Clock};
 use super::report::{Cost, Row};
+use crate::cold_sums;
 use crate::judge::{Record, Seen, judge_in_order};
 use crate::links::Links;
-use crate::plan::{Act, Plan};
+use crate::plan::{Act, Plan, TAIL};
+use crate::restarts;
 use crate::script::{Between, Known, Script, ScriptError, micros};
 use crate::sockets::{Board, Shard};
 use crate::spread;
@@ -31,8 +33,6 @@
 const HEAD_START: Micros = 200_000;
 /// New connections go on coming so long after a process was told to end.
 const TERM_NOTICE: Duration = Duration::from_millis(300);
-/// How long after the last request was asked answers are waited for, beyond the longest deadline.
-const TAIL: Micros = 1_500_000;
 /// A day whose requests were asked later than this (99 of 100) tells of the machine, not of the program.
 const LATE: f64 = 25.0;
 
@@ -110,6 +110,7 @@
     let left = director.borrow_mut().terminate_all();
     let left = wait_for_end(left).await;
     left.into_iter().for_each(|(proxy, process)| director.borrow_mut().has_ended(proxy, process));
+    let handed_on = director.borrow().folder.handed_on();
     let proxy_cpu_s = director.borrow_mut().cost()?;
     let (mut record, mut late) = (director.borrow_mut().record.take(), Vec::new());
     for thread in stand_ins.threads {
@@ -124,6 +125,9 @@
     judged.words.iter().for_each(|words| eprintln!("{words}"));
     let spread = spread::measure(script, &board.plan, &seen, began);
     let mut row = Row::new(script, "processes", &judged, spread);
+    row.cold = cold_sums::measure(script, &board.plan, &seen);
+    row.restarts = restarts::measure(&seen);
+    row.handed_on = handed_on;
     row.cost = Some(Cost { proxy_cpu_s, rig_cpu_s, late_p99_ms, spoilt: late_p99_ms > LATE });
     Ok(row)
 }
@@ -409,16 +413,18 @@
                 }
             }
             Act::Start(list) => {
+                // From here it has its time to be ready, whatever the start itself takes.
+                director.borrow().saw(Seen::Restarted { proxy });
                 let started = director.borrow_mut().start(proxy, list);
                 let Ok(process) = started else { continue };
-                let console = process.console();
+                let (console, listen) = (process.console(), director.borrow().places[proxy].listen());
                 director.borrow_mut().running[proxy] = Some(process);
-                director.borrow().saw(Seen::Restarted { proxy });
                 let (board, director) = (Arc::clone(board), Rc::clone(director));
                 tokio::task::spawn_local(async move {
-                    if Process::wait_until_ready(console).await {
+                    if Process::wait_until_up(listen).await {
                         board.entrance(proxy).set_open(true);
                         let mut director = director.borrow_mut();
+                        director.saw(Seen::Up { proxy });
                         let running = director.running.get_mut(proxy).and_then(Option::as_mut);
                         running.into_iter().filter(|p| p.console() == console).for_each(Process::got_ready);
                     }
--- a/crates/rig/src/fleet/processes.rs
+++ b/crates/rig/src/fleet/processes.rs
@@ -4,6 +4,7 @@
 use super::FleetError;
 use crate::address::{self, Held};
 use crate::script::Script;
+use crate::sockets::up;
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
 use serde_json::{Value, json};
@@ -26,6 +27,8 @@
 const ANSWER_CAP: usize = 512;
 /// How long processes have to end at the day's end before they are killed.
 pub(super) const END_WITHIN: Duration = Duration::from_secs(5);
+/// What a process logs that goes on from the limits of the one whose place it takes.
+const WENT_ON: &str = "goes on from the limits that were learnt";
 /// Clock ticks a second in the kernel's accounts: what Linux shows to programs, whatever its own clock.
 const TICKS: f64 = 100.0;
 
@@ -56,6 +59,16 @@
         fs::create_dir_all(&path)?;
         Ok(Self(path))
     }
+
+    /// How many processes of the day say in their logs that they went on from what others had learnt. Nothing is judged
+    /// by it: it tells whether a day had what it was meant to have.
+    pub(super) fn handed_on(&self) -> u64 {
+        let files =
+            |path: &Path| fs::read_dir(path).into_iter().flatten().flatten().map(|entry| entry.path());
+        let logs = files(&self.0).flat_map(|place| files(&place).collect::<Vec<_>>());
+        let logs = logs.filter(|path| path.is_file()).filter_map(|path| fs::read_to_string(path).ok());
+        logs.filter(|text| text.contains(WENT_ON)).count() as u64
+    }
 }
 
 impl Drop for Folder {
@@ -152,6 +165,18 @@
         false
     }
 
+    /// Asks whoever listens there until `/up` says that it serves, as a front does.
+    pub(super) async fn wait_until_up(listen: SocketAddr) -> bool {
+        let end = Instant::now() + READY_WITHIN;
+        while Instant::now() < end {
+            if let Ok(Ok(200)) = timeout(ANSWER_WITHIN, up(listen)).await {
+                return true;
+            }
+            sleep(ASK_EVERY).await;
+        }
+        false
+    }
+
     pub(super) fn console(&self) -> SocketAddr {
         self.console.address()
     }
--- a/crates/rig/src/fleet/relay.rs
+++ b/crates/rig/src/fleet/relay.rs
@@ -5,11 +5,11 @@
 use crate::address;
 use crate::links::{Line, Link, Links};
 use crate::script::{Between, Way};
-use crate::sockets::reset;
+use crate::sockets::{listen_on_loopback, reset};
 use haventrack_decision::api::Micros;
 use std::collections::HashMap;
 use std::io;
-use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+use std::net::{SocketAddr, SocketAddrV4};
 use std::pin::pin;
 use std::rc::Rc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -17,11 +17,10 @@
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
-use tokio::net::{TcpListener, TcpSocket, TcpStream, UdpSocket};
+use tokio::net::{TcpStream, UdpSocket};
 use tokio::sync::{Semaphore, mpsc};
 use tokio::time::Instant;
 
-const BACKLOG: u32 = 1_024;
 /// The largest piece of a stream that is carried at a time, and how many may be on their way on one connection.
 const PIECE: usize = 16 * 1024;
 const PIECES: usize = 64;
@@ -50,14 +49,6 @@
 /// Where a relay leads to, for each proxy that calls it. None: nowhere yet.
 pub type Target = Rc<dyn Fn(usize) -> Option<SocketAddr>>;
 
-/// A listener that only loopback reaches, on all of its addresses.
-fn listen() -> io::Result<TcpListener> {
-    let socket = TcpSocket::new_v4()?;
-    socket.bind_device(Some(b"lo"))?;
-    socket.bind(SocketAddr::from((Ipv4Addr::UNSPECIFIED, 0)))?;
-    socket.listen(BACKLOG)
-}
-
 /// Starts a relay of streams on this thread; gives its port. Callers reach it under `address::at_relay(proxy)`, which
 /// tells which proxy's link it is, whichever of the two calls.
 ///
@@ -70,7 +61,7 @@
     peer: usize,
     target: Target,
 ) -> io::Result<u16> {
-    let listener = listen()?;
+    let listener = listen_on_loopback()?;
     let port = listener.local_addr()?.port();
     let (links, clock) = (Rc::clone(links), clock.clone());
     tokio::task::spawn_local(async move {
--- a/crates/rig/src/fleet/report.rs
+++ b/crates/rig/src/fleet/report.rs
@@ -1,8 +1,10 @@
 //! Results as rows: one JSON line each, a table for people, medians over seeds. Pure.
 
+use crate::cold_sums::ColdUse;
 use crate::judge::{Judgement, judge_in_order};
 use crate::plan::Plan;
 use crate::reference::{self, Policy};
+use crate::restarts::Restarts;
 use crate::script::Script;
 use crate::spread::{self, Spread};
 use crate::virtual_time;
@@ -48,6 +50,15 @@
     pub broken: [u64; 4],
     /// How evenly boxes were loaded.
     pub spread: Spread,
+    /// What cold boxes got of what they bear, where any started.
+    #[serde(default)]
+    pub cold: Option<ColdUse>,
+    /// How soon processes that were started anew were ready, where there were any.
+    #[serde(default)]
+    pub restarts: Option<Restarts>,
+    /// Processes that went on from what those had learnt whose place they took, as their logs say.
+    #[serde(default)]
+    pub handed_on: u64,
     /// What the processes and the laboratory itself cost, where there were processes.
     pub cost: Option<Cost>,
 }
@@ -94,6 +105,9 @@
             p99_ms: judged.percentile(0.99) as f64 / 1e3,
             broken: judged.broken,
             spread,
+            cold: None,
+            restarts: None,
+            handed_on: 0,
             cost: None,
         }
     }
@@ -125,7 +139,7 @@
 /// Where the script's figures give settings that make no sense.
 pub fn in_virtual_time(script: &Script) -> Result<Row, SettingsError> {
     let report = virtual_time::play(script)?;
-    Ok(Row::new(script, "virtual", &report.judgement, report.spread))
+    Ok(Row { cold: report.cold, ..Row::new(script, "virtual", &report.judgement, report.spread) })
 }
 
 /// The head of [`line()`].
@@ -185,6 +199,23 @@
             None => write!(text, " never"),
         };
     }
+    if let Some(cold) = &row.cold {
+        let _ = write!(
+            text,
+            "  [cold: {} starts, {:.2} of the bound at the most, {:.2} in the mean; {:.1} % refused meanwhile]",
+            cold.starts,
+            cold.most,
+            cold.used,
+            100.0 * cold.refused_part()
+        );
+    }
+    if let Some(restarts) = &row.restarts {
+        let Restarts { restarted, in_time, median_s, worst_s } = restarts;
+        let _ = write!(
+            text,
+            "  [up within 10 s: {in_time} of {restarted}; {median_s:.1} s, worst {worst_s:.1} s]"
+        );
+    }
     if let Some(cost) = &row.cost {
         let spoilt = if cost.spoilt { ", SPOILT: the laboratory was late itself" } else { "" };
         let _ = write!(
--- a/crates/rig/src/judge.rs
+++ b/crates/rig/src/judge.rs
@@ -104,6 +104,11 @@
         /// The proxy.
         proxy: usize,
     },
+    /// A proxy's process that was started anew says that it serves.
+    Up {
+        /// The proxy.
+        proxy: usize,
+    },
     /// A proxy's process stands still until then.
     Stalled {
         /// The proxy.
@@ -397,7 +402,7 @@
                 self.barred.retain(|&(p, _), _| p != proxy);
             }
             Seen::Stalled { proxy, until } => self.stalls.entry(proxy).or_default().push((at, until)),
-            Seen::Connected { .. } | Seen::Called { .. } => {}
+            Seen::Connected { .. } | Seen::Called { .. } | Seen::Up { .. } => {}
             Seen::Started { at_box } => {
                 self.boxes[at_box] = ColdBox { started: Some(at), work: Vec::new() };
             }
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -6,7 +6,9 @@
 //! service was worth.
 
 pub mod address;
+pub mod call_queue;
 pub mod callers;
+pub mod cold_sums;
 pub mod cost;
 pub mod demo;
 pub mod fleet;
@@ -17,6 +19,7 @@
 pub mod model;
 pub mod plan;
 pub mod reference;
+pub mod restarts;
 pub mod script;
 pub mod sockets;
 pub mod spread;
--- a/crates/rig/src/plan.rs
+++ b/crates/rig/src/plan.rs
@@ -9,6 +9,9 @@
 /// How long after its SIGTERM a process that has not ended is killed, beyond the longest deadline.
 const END_GRACE: Micros = 700_000;
 
+/// How long after the last request was asked answers are waited for, beyond the longest deadline.
+pub(crate) const TAIL: Micros = 1_500_000;
+
 /// One client's request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Arrival {
@@ -152,6 +155,7 @@
 
 fn process_events(script: &Script) -> Vec<ProcessEvent> {
     let deadline = script.longest_deadline();
+    let end = micros(script.seconds) + deadline + TAIL;
     let mut events = Vec::new();
     for (index, fault) in script.process.iter().enumerate() {
         let struck = script.struck_proxies(index);
@@ -160,7 +164,7 @@
             let from = micros(fault.at_s + fault.wave_s * number as f64);
             let to = from + micros(fault.for_s);
             let mut push = |at, proxy, act| events.push(ProcessEvent { at, proxy, act });
-            for &proxy in proxies {
+            for (rank, &proxy) in proxies.iter().enumerate() {
                 match fault.what {
                     ProcessWhat::Kill => {
                         push(from, proxy, Act::Kill);
@@ -173,8 +177,18 @@
                         push(to.max(reaped), proxy, Act::Start(fault.list));
                     }
                     ProcessWhat::Stall => {
-                        push(from, proxy, Act::Stop(to));
-                        push(to, proxy, Act::Continue);
+                        let every = micros(fault.every_s);
+                        // Processes that stand again and again run one after another, not all at once.
+                        let later = every * rank as Micros / proxies.len() as Micros;
+                        let again = (0..).map_while(|n| {
+                            let late = later + every * n;
+                            let due = n == 0 || (every > 0 && from + late < end);
+                            due.then_some(late)
+                        });
+                        for late in again {
+                            push(from + late, proxy, Act::Stop(to + late));
+                            push(to + late, proxy, Act::Continue);
+                        }
                     }
                     ProcessWhat::Replace => push(from, proxy, Act::Replace),
                 }
--- a/crates/rig/src/script.rs
+++ b/crates/rig/src/script.rs
@@ -1,8 +1,10 @@
 //! Fault scripts: a fleet, its traffic, and at what second which part of it has what trouble. TOML.
 
 mod check;
+mod discovery;
 mod faults;
 
+pub use discovery::{Discovery, DiscoveryMode};
 pub use faults::{Between, Known, LinkFault, ProcessFault, ProcessWhat, Way};
 
 use crate::model::BoxSpec;
@@ -48,6 +50,9 @@
     pub seconds: f64,
     /// The boxes and proxies.
     pub fleet: Fleet,
+    /// How proxies hear of boxes.
+    #[serde(default)]
+    pub discovery: Discovery,
     /// What clients do.
     pub traffic: Traffic,
     /// Request classes.
@@ -85,6 +90,9 @@
     /// After how long it is warm, seconds.
     #[serde(default = "eight")]
     pub cold_s: f64,
+    /// What proxies are told of that in place of it, seconds: a planted fault of the settings.
+    #[serde(default)]
+    pub told_cold_s: Option<f64>,
     /// One way between zones, milliseconds; within one it is a quarter of that.
     #[serde(default = "two")]
     pub cross_zone_ms: f64,
@@ -403,6 +411,11 @@
     /// The settings of a proxy in the form that a configuration holds.
     #[must_use]
     pub fn settings(&self, proxy: usize) -> Value {
+        let cold_s = self.fleet.told_cold_s.unwrap_or(self.fleet.cold_s);
+        let mode = match self.discovery.mode {
+            DiscoveryMode::Pushed => "pushed",
+            DiscoveryMode::Asked => "on_request",
+        };
         let class = |c: &ClassSpec| {
             let (effect, group) = match c.effect {
                 EffectSpec::Safe => ("retryable", ""),
@@ -421,7 +434,7 @@
             (0..self.traffic.tenants).map(|t| json!({"name": format!("t{t}"), "allowancePerS": allowance}));
         let zones: Vec<String> = (0..self.fleet.zones).map(|z| format!("z{z}")).collect();
         json!({"me": proxy, "balancers": self.fleet.proxies, "zone": self.zone(proxy),
-            "failureDomains": zones, "kinds": ["box"], "membershipMode": "pushed",
+            "failureDomains": zones, "kinds": ["box"], "membershipMode": mode,
             "classes": self.class.iter().map(class).collect::<Vec<_>>(),
             "tenants": names.collect::<Vec<_>>(), "overShareWorth": 0.2,
             "penalties": {"crossZone": 0.05, "probe": 0.01},
@@ -429,7 +442,7 @@
                 "connIdleUs": 15_000_000, "multiplex": 1, "retryAfter": true, "maxRetryAfterUs": 2_000_000,
                 "dialTimeoutUs": 250_000},
             "safety": {"askWithinUs": 10_000_000, "coldFrom": self.fleet.cold_from,
-                "coldUs": micros(self.fleet.cold_s), "fallMultiple": 3.0, "fallUs": 2_000_000}})
+                "coldUs": micros(cold_s), "fallMultiple": 3.0, "fallUs": 2_000_000}})
     }
 }
 
--- a/crates/rig/src/script/check.rs
+++ b/crates/rig/src/script/check.rs
@@ -1,9 +1,11 @@
 //! What of a script makes no sense, by key.
 
-use super::{MOST_BOXES, MOST_PROXIES, MOST_REQUESTS, MOST_SECONDS, Script, ScriptError, What};
+use super::{MOST_BOXES, MOST_PROXIES, MOST_REQUESTS, MOST_SECONDS, ProcessWhat, Script, ScriptError, What};
 
 /// The most waves of one fault of processes.
 const MOST_WAVES: f64 = 1_000.0;
+/// The most stalls a second of one fault, over all processes.
+const MOST_STALLS_S: f64 = 5_000.0;
 
 impl Script {
     /// Whether all of it can be played.
@@ -28,6 +30,7 @@
         within("fleet.holds", fleet.holds, 1.0, 1_000.0)?;
         within("fleet.cold_from", fleet.cold_from, 0.01, 1.0)?;
         within("fleet.cold_s", fleet.cold_s, 0.0, 600.0)?;
+        within("fleet.told_cold_s", fleet.told_cold_s.unwrap_or(fleet.cold_s), 0.0, 600.0)?;
         within("fleet.cross_zone_ms", fleet.cross_zone_ms, 0.0, 1_000.0)?;
         within("fleet.news_s", fleet.news_s, 0.0, 60.0)?;
         within("fleet.front_notice_s", fleet.front_notice_s, 0.0, 60.0)?;
@@ -40,6 +43,10 @@
         for (i, &speed) in fleet.speeds.iter().enumerate() {
             within(&format!("fleet.speeds[{i}]"), speed, 0.01, 100.0)?;
         }
+        let discovery = &self.discovery;
+        within("discovery.call_ms[0]", discovery.call_ms[0], 0.0, discovery.call_ms[1])?;
+        within("discovery.call_ms[1]", discovery.call_ms[1], 0.0, 60_000.0)?;
+        within("discovery.fails_after_ms", discovery.fails_after_ms, 0.0, 60_000.0)?;
         within("traffic.skew", self.traffic.skew, 0.0, 3.0)?;
         within("traffic.per_s", self.traffic.per_s, 0.1, MOST_REQUESTS / self.seconds)?;
         for (name, part) in [
@@ -90,6 +97,14 @@
             within(&field("part"), process.part, 0.0, 1.0)?;
             within(&field("waves"), f64::from(process.waves), 1.0, MOST_WAVES)?;
             within(&field("wave_s"), process.wave_s, 0.0, MOST_SECONDS)?;
+            if process.every_s != 0.0 {
+                if process.what != ProcessWhat::Stall {
+                    return fault(field("every_s"), "only a `stall` comes again".into());
+                }
+                // As often as the laboratory can signal them all, and with a moment between two of them.
+                let least = (fleet.proxies as f64 * process.part / MOST_STALLS_S).max(process.for_s + 0.001);
+                within(&field("every_s"), process.every_s, least, MOST_SECONDS)?;
+            }
         }
         for (i, link) in self.link.iter().enumerate() {
             let field = |name: &str| format!("link[{i}].{name}");
--- a/crates/rig/src/script/faults.rs
+++ b/crates/rig/src/script/faults.rs
@@ -23,6 +23,10 @@
     /// ... so far apart, seconds.
     #[serde(default)]
     pub wave_s: f64,
+    /// A stall comes again so often until the day's last answers are in, seconds, not at all processes at once; 0: it
+    /// comes once.
+    #[serde(default)]
+    pub every_s: f64,
     /// The list of boxes with which a process starts again.
     #[serde(default)]
     pub list: Known,
--- a/crates/rig/src/sockets.rs
+++ b/crates/rig/src/sockets.rs
@@ -11,6 +11,7 @@
 
 pub(crate) use board::Board;
 pub(crate) use boxes::reset;
+pub(crate) use clients::up;
 pub(crate) use shard::Shard;
 
 use crate::judge::{Judgement, judge};
@@ -19,12 +20,24 @@
 use haventrack_decision::api::{Micros, Outcome};
 use haventrack_proxy::config::ConfigError;
 use std::io;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 use thiserror::Error;
 use threads::{LIMITS_EVERY, PROXY_TIME, Proxy};
+use tokio::net::{TcpListener, TcpSocket};
 use tokio::task::LocalSet;
 use tokio::time::{sleep, timeout};
 
+const BACKLOG: u32 = 1_024;
+
+/// A listener that only loopback reaches, on all of its addresses: the one that was called may tell who calls.
+pub(crate) fn listen_on_loopback() -> io::Result<TcpListener> {
+    let socket = TcpSocket::new_v4()?;
+    socket.bind_device(Some(b"lo"))?;
+    socket.bind(SocketAddr::from((Ipv4Addr::UNSPECIFIED, 0)))?;
+    socket.listen(BACKLOG)
+}
+
 /// Why a day could not be played.
 #[derive(Debug, Error)]
 pub enum SocketsError {
--- a/crates/rig/src/sockets/clients.rs
+++ b/crates/rig/src/sockets/clients.rs
@@ -36,7 +36,7 @@
     }
 }
 
-async fn up(address: SocketAddr) -> io::Result<u16> {
+pub(crate) async fn up(address: SocketAddr) -> io::Result<u16> {
     let mut stream = TcpStream::connect(address).await?;
     stream.write_all(b"GET /up HTTP/1.1\r\nHost: rig\r\n\r\n").await?;
     let answer = http1::read(&mut stream, &mut Vec::new(), true).await?;
--- a/crates/rig/src/sockets/shard.rs
+++ b/crates/rig/src/sockets/shard.rs
@@ -4,7 +4,7 @@
 use super::board::Board;
 use super::boxes::StandIn;
 use super::clients::Clients;
-use super::discovery::Agent;
+use super::discovery::{self, Agent};
 use crate::judge::{Record, Seen};
 use crate::script::{What, micros};
 use haventrack_decision::api::Micros;
@@ -68,9 +68,7 @@
 
     /// Opens discovery here, once the boxes of all threads are open.
     pub(crate) async fn open_agents(&mut self, mut news: UnboundedReceiver<usize>) -> io::Result<()> {
-        for proxy in 0..self.shared.board.script.fleet.proxies {
-            self.agents.push(Agent::start(&self.shared, proxy).await?);
-        }
+        self.agents = discovery::open(&self.shared).await?;
         let agents = self.agents.clone();
         tokio::task::spawn_local(async move {
             while let Some(at_box) = news.recv().await {
--- a/crates/rig/src/spread.rs
+++ b/crates/rig/src/spread.rs
@@ -107,7 +107,10 @@
     let span = |at_s: f64, for_s: f64| (micros(at_s), micros(at_s + for_s));
     let boxes = script.trouble.iter().map(|t| span(t.at_s, t.for_s));
     let links = script.link.iter().map(|l| span(l.at_s, l.for_s));
-    let processes = script.process.iter().map(|p| span(p.at_s, p.for_s + p.wave_s * f64::from(p.waves - 1)));
+    let processes = script.process.iter().map(|p| match p.every_s {
+        0.0 => span(p.at_s, p.for_s + p.wave_s * f64::from(p.waves - 1)),
+        _ => span(p.at_s, script.seconds),
+    });
     let mut all: Vec<_> = boxes.chain(links).chain(processes).collect();
     all.retain(|&(_, to)| to < micros(script.seconds) && to <= plan.arrivals.last().map_or(0, |a| a.at));
     all.sort_unstable_by_key(|&(_, to)| to);
--- a/crates/rig/src/virtual_time.rs
+++ b/crates/rig/src/virtual_time.rs
@@ -4,6 +4,7 @@
 mod boxes;
 mod processes;
 
+use crate::cold_sums::{self, ColdUse};
 use crate::judge::{Got, Judgement, Record, Seen, judge_in_order};
 use crate::model::BoxModel;
 use crate::plan::Plan;
@@ -46,6 +47,8 @@
     pub judgement: Judgement,
     /// How evenly the boxes were loaded.
     pub spread: Spread,
+    /// What cold boxes got of what they bear, where any started.
+    pub cold: Option<ColdUse>,
     /// What all engines counted.
     pub counts: Counts,
     /// What became of all leases.
@@ -168,6 +171,7 @@
     let mut report = Report {
         judgement: judge_in_order(script, &seen, 0),
         spread: spread::measure(script, &plan, &seen, START),
+        cold: cold_sums::measure(script, &plan, &seen),
         counts,
         leases,
         left_open: 0,
--- a/crates/rig/tests/laboratory.rs
+++ b/crates/rig/tests/laboratory.rs
@@ -1,6 +1,9 @@
 //! Days over processes of the program, with faults of processes and links. Verdicts come from what the stand-ins saw:
 //! rules, and counts with room for a slow machine.
 
+mod common;
+
+use common::{KEEPER, machine, program};
 use haventrack_rig::fleet::report::Row;
 use haventrack_rig::fleet::{FleetError, Machine, play};
 use haventrack_rig::script::{
@@ -9,50 +12,9 @@
 use std::fs;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::OnceLock;
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
-const KEEPER: &str = env!("CARGO_BIN_EXE_haventrack-rig");
-/// Microseconds: a machine of two cores that builds something else besides.
-const SLACK: u64 = 1_000_000;
-
-/// The program, built as this test is, so that a test never plays an older one.
-fn program() -> PathBuf {
-    static BUILT: OnceLock<PathBuf> = OnceLock::new();
-    let build = || {
-        let folder = Path::new(KEEPER).parent().expect("programs lie in a folder");
-        let mut cargo = Command::new(env!("CARGO"));
-        cargo.args([
-            "build",
-            "--quiet",
-            "--locked",
-            "--package",
-            "haventrack-program",
-            "--bin",
-            "haventrack-proxy",
-        ]);
-        cargo.arg("--target-dir").arg(folder.parent().expect("a target folder"));
-        if folder.ends_with("release") {
-            cargo.arg("--release");
-        }
-        assert!(cargo.status().expect("cargo runs").success(), "the program builds");
-        folder.join("haventrack-proxy")
-    };
-    BUILT.get_or_init(build).clone()
-}
-
-fn machine() -> Machine {
-    Machine {
-        proxy: program(),
-        keeper: KEEPER.into(),
-        memory_mb: 32,
-        descriptors: 256,
-        threads: 2,
-        slack: SLACK,
-    }
-}
-
 fn script_path() -> PathBuf {
     Path::new(env!("CARGO_MANIFEST_DIR")).join("scripts/laboratory.toml")
 }
@@ -62,7 +24,7 @@
 }
 
 fn process(what: ProcessWhat, part: f64, for_s: f64) -> ProcessFault {
-    ProcessFault { what, at_s: 1.0, for_s, part, waves: 1, wave_s: 0.0, list: Known::Old }
+    ProcessFault { what, at_s: 1.0, for_s, part, waves: 1, wave_s: 0.0, every_s: 0.0, list: Known::Old }
 }
 
 fn link(between: Between) -> LinkFault {
--- /dev/null
+++ b/crates/rig/tests/restarts.rs
@@ -0,0 +1,132 @@
+//! Seven in ten processes killed at once before one discovery service that all ask, each process on a tenth of a core:
+//! nine in ten say within ten seconds of their start that they serve. Judged by what `/up` answers from outside.
+
+mod common;
+
+use common::machine;
+use haventrack_rig::call_queue::{CallQueue, Fate};
+use haventrack_rig::fleet::play;
+use haventrack_rig::fleet::report::line;
+use haventrack_rig::judge::Seen;
+use haventrack_rig::plan::{Act, Plan};
+use haventrack_rig::restarts::{READY_WITHIN, Restarts, measure};
+use haventrack_rig::script::{Known, Script, ScriptError};
+use std::path::Path;
+
+fn script() -> Script {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("scripts/restarts-30.toml");
+    Script::read(&path).expect("a good script")
+}
+
+/// The same with another list at the restart, which is the script's second fault of processes.
+fn starting_with(list: Known) -> Script {
+    let mut script = script();
+    script.process[1].list = list;
+    script
+}
+
+/// Plays a day that breaks no rule; how soon those were ready that it restarted.
+fn played(script: &Script) -> Restarts {
+    let row = play(script, &machine()).expect("it plays");
+    println!("{}", line(&row));
+    assert_eq!(row.broken, [0; 4], "{row:?}");
+    row.restarts.expect("processes were restarted")
+}
+
+#[test]
+fn nine_in_ten_are_ready_with_an_old_list() {
+    let restarts = played(&starting_with(Known::Old));
+    assert!(restarts.restarted == 21 && restarts.is_soon(), "{restarts:?}");
+}
+
+#[test]
+fn nine_in_ten_are_ready_with_no_list_at_all() {
+    let restarts = played(&starting_with(Known::Nothing));
+    assert!(restarts.restarted == 21 && restarts.is_soon(), "{restarts:?}");
+}
+
+/// A service that takes two seconds a call gives six of seven no list in time: that is seen.
+#[test]
+fn a_service_that_answers_too_few_is_seen() {
+    let mut script = starting_with(Known::Nothing);
+    (script.fleet.proxies, script.seconds) = (10, 3.0);
+    script.discovery.call_ms = [2_000.0, 2_000.0];
+    let restarts = played(&script);
+    assert!(restarts.restarted == 7 && !restarts.is_soon(), "{restarts:?}");
+}
+
+#[test]
+fn those_that_never_say_so_are_not_ready() {
+    let restarted = |at, proxy| (at, Seen::Restarted { proxy });
+    let up = |at, proxy| (at, Seen::Up { proxy });
+    let mut seen: Vec<_> = (0..10).map(|proxy| restarted(5, proxy)).collect();
+    assert_eq!(measure(&[]), None);
+    assert!(measure(&seen).is_some_and(|r| (r.restarted, r.in_time) == (10, 0) && !r.is_soon()));
+    seen.extend((0..8).map(|proxy| up(1_000_005, proxy)));
+    seen.push(up(READY_WITHIN + 5, 8));
+    let nine = measure(&seen).expect("ten");
+    assert!(nine.is_soon() && (nine.median_s, nine.worst_s) == (1.0, 10.0), "{nine:?}");
+    // The last one a moment too late for nine in ten, where one more was never ready.
+    seen.pop();
+    seen.push(up(READY_WITHIN + 6, 8));
+    assert!(measure(&seen).is_some_and(|r| r.in_time == 8 && !r.is_soon()));
+    // One that was killed again before its time was over counts no more; one that had its time does.
+    seen.push((READY_WITHIN + 4, Seen::Killed { proxy: 9 }));
+    assert_eq!(measure(&seen).map(|r| r.restarted), Some(9));
+    seen.pop();
+    seen.push((READY_WITHIN + 5, Seen::Killed { proxy: 9 }));
+    assert_eq!(measure(&seen).map(|r| r.restarted), Some(10));
+}
+
+#[test]
+fn calls_come_in_turn_and_those_that_waited_too_long_fail() {
+    let mut calls = CallQueue::new((60_000, 160_000), 2_000_000, 1);
+    let fates: Vec<_> = (0..60).map(|_| calls.come(1_000_000)).collect();
+    let done = fates.iter().filter_map(|fate| match fate {
+        Fate::Done(at) => Some(*at),
+        Fate::Failed(at) => {
+            assert_eq!(*at, 3_000_000, "2 s after it came");
+            None
+        }
+    });
+    let done: Vec<_> = done.collect();
+    let gaps = [1_000_000].iter().chain(&done).zip(&done).map(|(before, at)| at - before);
+    assert!(gaps.clone().all(|gap| (60_000..=160_000).contains(&gap)), "{fates:?}");
+    assert!(done.len() < 60 && done.last().is_some_and(|&last| (3_000_000..=3_160_000).contains(&last)));
+    // What failed cost the service nothing: a call after that is worked through at once.
+    assert!(matches!(calls.come(4_000_000), Fate::Done(at) if at <= 4_160_000));
+}
+
+#[test]
+fn a_stall_that_comes_again_leaves_each_process_its_part_and_not_all_at_once() {
+    let script = script();
+    let plan = Plan::draw(&script);
+    let of = |proxy: usize| plan.processes.iter().filter(move |event| event.proxy == proxy);
+    for proxy in 0..30 {
+        let stops: Vec<_> = of(proxy).filter(|e| matches!(e.act, Act::Stop(_))).collect();
+        assert!(stops.len() >= 112, "{} stalls in 11.3 s", stops.len());
+        assert!(stops.windows(2).all(|pair| pair[1].at - pair[0].at == 100_000));
+        let runs = of(proxy).filter(|e| e.act == Act::Continue).zip(&stops);
+        assert!(runs.clone().all(|(goes_on, stop)| goes_on.at - stop.at == 90_000));
+    }
+    let first: std::collections::HashSet<_> =
+        (0..30).filter_map(|proxy| of(proxy).next().map(|e| e.at)).collect();
+    assert_eq!(first.len(), 30, "each begins at a time of its own");
+}
+
+#[test]
+fn what_makes_no_sense_is_refused_by_key() {
+    let refused = |change: fn(&mut Script)| {
+        let mut script = script();
+        change(&mut script);
+        match script.check() {
+            Err(ScriptError::Value(key, _)) => key,
+            other => panic!("{other:?}"),
+        }
+    };
+    assert_eq!(refused(|s| s.process[0].every_s = 0.09), "process[0].every_s");
+    assert_eq!(refused(|s| s.process[1].every_s = 1.0), "process[1].every_s");
+    assert_eq!(refused(|s| s.discovery.call_ms = [60.0, 10.0]), "discovery.call_ms[0]");
+    assert_eq!(refused(|s| s.discovery.fails_after_ms = -1.0), "discovery.fails_after_ms");
+    assert_eq!(refused(|s| s.fleet.told_cold_s = Some(-1.0)), "fleet.told_cold_s");
+}
--- a/crates/rig/tests/spread.rs
+++ b/crates/rig/tests/spread.rs
@@ -51,7 +51,7 @@
 }
 
 fn process(what: ProcessWhat, part: f64, for_s: f64) -> ProcessFault {
-    ProcessFault { what, at_s: 1.0, for_s, part, waves: 1, wave_s: 0.0, list: Known::Old }
+    ProcessFault { what, at_s: 1.0, for_s, part, waves: 1, wave_s: 0.0, every_s: 0.0, list: Known::Old }
 }
 
 fn trouble(what: What, at_s: f64, for_s: f64, part: f64) -> Trouble {
--- a/crates/rig/tests/virtual_days.rs
+++ b/crates/rig/tests/virtual_days.rs
@@ -79,7 +79,8 @@
 fn with_fault(what: ProcessWhat, part: f64, list: Known) -> Script {
     let mut script = script("spread-200.toml");
     (script.seconds, script.fleet.news_s) = (6.0, 0.1);
-    script.process = vec![ProcessFault { what, at_s: 2.0, for_s: 1.0, part, waves: 1, wave_s: 0.0, list }];
+    script.process =
+        vec![ProcessFault { what, at_s: 2.0, for_s: 1.0, part, waves: 1, wave_s: 0.0, every_s: 0.0, list }];
     script
 }
 
