--- a/crates/rig/src/judge.rs
+++ b/crates/rig/src/judge.rs
@@ -559,7 +559,10 @@
             if request.got.is_none() && excused {
                 self.out.classes[request.class].excused += 1;
             } else if request.got.is_none() {
-                self.out.breaks(1, end, &format!("request {id} never got an answer"));
+                let asked = asked as f64 / 1e6;
+                let words =
+                    format!("request {id}, asked of proxy {proxy} at {asked:.3} s, never got an answer");
+                self.out.breaks(1, end, &words);
             }
         }
         self.out.latencies.sort_unstable();
