An answer that came while the process stood goes before the time-out of its attempt

Seen by a test that forces it: a stop ends epoll's wait with EINTR, the runtime tells timers before it asks the sockets again, and an attempt whose answer lay in the kernel was given up and sent again (its backend counts as silent for it as well). The time-out now gives the runtime four turns, microseconds, in which an answer that is there is read.

The test of a dial that came up waits until the proxy has settled: it could wait 14 s for a connection that rested.

--- a/crates/program/tests/proxy/crossings.rs
+++ b/crates/program/tests/proxy/crossings.rs
@@ -266,3 +266,44 @@
     let copies = |wanted: &str| ids.iter().filter(|id| *id == wanted).count();
     assert_eq!((copies("before"), copies("after")), (2, 1), "{ids:?}");
 }
+
+/// The answer came, and then the time of its attempt ran out, both while the process stood: it is the answer that counts, and
+/// neither is the request sent again nor its backend blamed.
+#[test]
+fn an_answer_that_came_while_the_process_stood_goes_before_the_time_out() {
+    /// A first attempt is given up after a quarter of this, and the process stands for longer than that.
+    const AIM_US: u64 = 2_400_000;
+    const STANDS: Duration = Duration::from_millis(1_000);
+    let discovery = Discovery::start();
+    let (release, word) = channel::<()>();
+    let word = std::sync::Arc::new(std::sync::Mutex::new(Some(word)));
+    let backends = [0, 1].map(|_| {
+        let word = std::sync::Arc::clone(&word);
+        Backend::start(move |seen| {
+            let first = || word.lock().expect("a word").take();
+            match (seen.header("x-correlation-id") == Some("late")).then(first).flatten() {
+                Some(word) => Reply::After(word, Box::new(ok("first"))),
+                None => ok("there"),
+            }
+        })
+    });
+    let mut config = config("stood-answer", &discovery);
+    config["settings"]["classes"][0]["aimUs"] = AIM_US.into();
+    let proxy = Proxy::start_with("stood-answer", config);
+    discovery.post(true, &[0, 1].map(|i| entry(&format!("s-{i}"), backends[i].address, "active", 0)));
+    for n in 0..8 {
+        assert_eq!(proxy.client().ask(&request("read", &format!("usual-{n}"), "")).status(), 200);
+    }
+    let mut client = proxy.client();
+    client.send(&request("read", "late", ""));
+    while word.lock().expect("a word").is_some() {
+        thread::yield_now();
+    }
+    proxy.signal("-STOP");
+    release.send(()).expect("the backend waits");
+    thread::sleep(STANDS);
+    proxy.signal("-CONT");
+    assert_eq!(client.receive().body, b"first");
+    let seen = backends.iter().flat_map(|b| b.seen.try_iter());
+    assert_eq!(seen.filter(|seen| seen.header("x-correlation-id") == Some("late")).count(), 1);
+}
--- a/crates/program/tests/proxy/leaving.rs
+++ b/crates/program/tests/proxy/leaving.rs
@@ -241,6 +241,7 @@
         drop(leaver);
         std::thread::sleep(BOUND);
         proxy.signal("-CONT");
+        settle(&proxy);
         let mut stays = proxy.client();
         stays.send(&request("read", "stays", ""));
         // The connection may be kept for whoever comes next, or may have been closed.
--- a/crates/proxy/src/backends.rs
+++ b/crates/proxy/src/backends.rs
@@ -37,6 +37,9 @@
 const SETTLED: Duration = Duration::from_millis(5);
 /// How often a body that is passed on is looked at.
 const LOOK_EVERY: Duration = Duration::from_millis(20);
+/// Turns of the runtime in which an answer that the kernel has reaches whoever waits for it: the sockets are asked, the head
+/// is handed over, its body is, and one to spare. They take microseconds.
+const LAST_TURNS: u32 = 4;
 const UNPROCESSED: HeaderName = HeaderName::from_static("x-unprocessed");
 const LOAD: HeaderName = HeaderName::from_static("x-backend-load");
 
@@ -342,7 +345,7 @@
             biased;
             exchanged = exchange(&mut conn.sender, request) => exchanged,
             () = recalled => Err(Broken::Cancelled),
-            () = time_over(&call, give_up) => Err(Broken::TimedOut),
+            () = time_over_and_unanswered(&call, give_up) => Err(Broken::TimedOut),
         };
         // Rule 2: what the socket did not take whole can't run; of anything else nothing is certain. Reading
         // the count and dropping the connection happen in one step, so nothing more is written in between.
@@ -444,6 +447,15 @@
     }
 }
 
+/// Waits until the time of an attempt is over and what its backend has sent by then has been read: a process that stood is
+/// told of timers before sockets.
+async fn time_over_and_unanswered(call: &Call, give_up: Instant) {
+    time_over(call, give_up).await;
+    for _ in 0..LAST_TURNS {
+        tokio::task::yield_now().await;
+    }
+}
+
 /// Waits until the time of an attempt is over. That of a request whose body is passed on as it comes counts from the
 /// body's last byte; until then its client has to keep a pace.
 async fn time_over(call: &Call, give_up: Instant) {
