Crowd test tells the whole refusal and the log where a replacement refuses

Seen once in 15 runs of it on two cores shared with two busy loops and other tests: the first of ten requests after the old process had ended was refused with 503. Not seen again in 15 further runs, three at a time beside three busy loops. The cause is not known; the next failure shows the head with its Retry-After, and the log.

--- a/crates/program/tests/proxy/crowd.rs
+++ b/crates/program/tests/proxy/crowd.rs
@@ -121,7 +121,11 @@
 fn answers(address: SocketAddr, name: &str) -> Vec<String> {
     let ask = |n| {
         let got = Client::connect(address).ask(&request("read", &format!("{name}-{n}"), ""));
-        format!("{} {}", got.status(), String::from_utf8_lossy(&got.body))
+        match got.status() {
+            200 => format!("200 {}", String::from_utf8_lossy(&got.body)),
+            // All that is known of a refusal.
+            _ => got.head,
+        }
     };
     (0..ASKING).map(ask).collect()
 }
@@ -170,13 +174,17 @@
     assert!(is_ready(console), "{name}");
     let second = crowd(address, says);
     let successor = replaced.then(|| {
-        let (successor, console) =
+        let (mut successor, console) =
             Proxy::start_limited_in(&folder, "next", &config(Some(address)), DESCRIPTORS);
         wait_until_ready(console, &name);
         let third = crowd(address, says);
         proxy.terminate();
         assert!(proxy.wait().success(), "{name}: the old one ends");
-        assert_eq!(answers(address, "next"), all("200 old"), "{name}");
+        let got = answers(address, "next");
+        if got != all("200 old") {
+            successor.terminate();
+            panic!("{name}: {got:?}, and its log is: {}", successor.rest_of_log());
+        }
         (successor, console, third)
     });
     discovery.returns();
