A configuration with many tenants is read in one pass; more than 65,536 are refused

What is needed is worked out once now; the test of growth (200 and 4,000 entries) failed without it.

Tenants are numbered in 16 bits, unchecked: a debug build panicked at its start with 65,536, a release build would have let the next one share the first one's bucket. Settings with more are refused by key, with the count and the bound.

--- a/crates/decision/src/api.rs
+++ b/crates/decision/src/api.rs
@@ -54,6 +54,9 @@
     pub effect: Effect,
 }
 
+/// The most tenants that settings may name: requests know theirs by a position of 16 bits.
+pub const MOST_TENANTS: usize = 1 << 16;
+
 /// A tenant and its share of the service.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Tenant {
@@ -181,6 +184,9 @@
             let stretch = class.aim_stretch;
             check(stretch.is_finite() && stretch >= 0.0, &field("aim_stretch"), "must be 0 or more")?;
         }
+        let tenants = self.tenants.len();
+        let problem = format!("{tenants} tenants, and at most {MOST_TENANTS} are told apart; leave out some");
+        check(tenants <= MOST_TENANTS, "tenants", &problem)?;
         for (i, tenant) in self.tenants.iter().enumerate() {
             let allowance = tenant.allowance_per_s;
             let field = format!("tenants[{i}].allowance_per_s");
--- a/crates/extproc/src/question.rs
+++ b/crates/extproc/src/question.rs
@@ -87,7 +87,7 @@
         let known = (0..=u8::MAX).zip(&settings.classes).map(class);
         Self {
             classes: classes.iter().cloned().zip(known).collect(),
-            tenants: tenants.iter().cloned().zip(0..).collect(),
+            tenants: tenants.iter().cloned().zip(0..=u16::MAX).collect(),
         }
     }
 
--- a/crates/proxy/src/clients.rs
+++ b/crates/proxy/src/clients.rs
@@ -106,7 +106,7 @@
             handle,
             clock,
             classes: RefCell::new(classes),
-            tenants: names.tenants.iter().cloned().zip(0..).collect(),
+            tenants: names.tenants.iter().cloned().zip(0..=u16::MAX).collect(),
             held,
             phase,
             most: Cell::new(most),
--- a/crates/settings/src/renewal.rs
+++ b/crates/settings/src/renewal.rs
@@ -143,15 +143,17 @@
             let Some(Value::Object(first)) = present.first() else { return Ok(()) };
             let everywhere =
                 |key: &str| present.iter().all(|entry| entry.get(key).is_some_and(|v| !v.is_null()));
+            // Looked for once and not for each new entry: there may be hundreds of thousands of tenants.
+            let needed: Vec<_> = first
+                .iter()
+                .filter(|(key, _)| !BY_EFFECT.contains(&key.as_str()) && everywhere(key))
+                .collect();
             for (place, entry) in new.iter().enumerate() {
                 let path = format!("{path}[{place}]");
                 if !entry.is_object() {
                     return Err(RenewalError::Kind(path, kind(entry), "an object"));
                 }
-                for (key, value) in first.iter().filter(|(key, _)| everywhere(key)) {
-                    if BY_EFFECT.contains(&key.as_str()) {
-                        continue;
-                    }
+                for &(key, value) in &needed {
                     let path = format!("{path}.{key}");
                     let given = entry.get(key).ok_or_else(|| RenewalError::Missing(path.clone()))?;
                     compare(&path, value, given)?;
--- a/crates/settings/tests/renewal.rs
+++ b/crates/settings/tests/renewal.rs
@@ -112,6 +112,25 @@
     assert_eq!(has_all_keys(&present, &other), Ok(()), "data and the number of classes may differ");
 }
 
+/// Judged by how it grows: twenty times the tenants take some twenty times as long. Where every new entry looks through
+/// all present ones it is four hundred times.
+#[test]
+fn a_long_list_is_compared_in_one_pass() {
+    let compared = |tenants: usize| {
+        let list: Vec<Value> =
+            (0..tenants).map(|n| json!({"name": n.to_string(), "allowancePerS": 1.0})).collect();
+        let present = json!({"settings": {"tenants": list}});
+        let spent = |_| {
+            let began = std::time::Instant::now();
+            assert_eq!(has_all_keys(&present, &present), Ok(()));
+            began.elapsed()
+        };
+        (0..5).map(spent).min().expect("five times")
+    };
+    let (few, many) = (compared(200), compared(4_000));
+    assert!(many < few * 100, "200 tenants take {few:?} and 4,000 take {many:?}");
+}
+
 #[test]
 fn what_is_wrong_in_a_file_is_told_by_its_path() {
     let told = |change: fn(&mut Value)| {
--- a/crates/settings/tests/settings.rs
+++ b/crates/settings/tests/settings.rs
@@ -46,3 +46,17 @@
     let missing = parse_settings(SETTINGS.replace("\"safety\"", "\"sagety\"").as_bytes());
     assert!(missing.expect_err("a key is missing").problem.contains("safety"));
 }
+
+/// One more would be taken for the first one, and have its share.
+#[test]
+fn more_tenants_than_can_be_told_apart_are_refused() {
+    let with = |tenants: usize| {
+        let list = vec![r#"{"name": "t", "allowancePerS": 1.0}"#; tenants].join(",");
+        let json = SETTINGS.replace(r#"{"name": "t", "allowancePerS": 12.5, "share": 1.0}"#, &list);
+        parse_settings(json.as_bytes()).map(|settings| settings.tenants.len())
+    };
+    assert_eq!(with(MOST_TENANTS), Ok(MOST_TENANTS));
+    let error = with(MOST_TENANTS + 1).expect_err("one too many");
+    assert_eq!(error.field, "tenants");
+    assert!(error.problem.contains("65537") && error.problem.contains("65536"), "{error}");
+}
