Control state by scope and by change: source, relay, agent, and what decides

Need: list length, list in memory and lists told whole are the walls that a proxy's state meets on its way to 160,000 backends; a proxy needs a hundredth of them, and a change is a hundred bytes.

Pure: ledger (versions of epoch and revision, a log by urgency that holds the newest of each key, digests by service, bounded tombstones), feed (a cursor for each subscriber, no queue, a byte budget, drains first), replica (gaps, repair by digests), source, relay, subscriber, failover. Round them: codec, haventrack-control source | relay | agent | check | write, deploy/control.toml. The agent serves its proxy by the discovery protocol as it stands.

--- /dev/null
+++ b/crates/control/tests/codec.rs
@@ -0,0 +1,311 @@
+//! What travels between parties: every message comes back as it went, and nothing else is taken for one.
+
+use haventrack_control::codec::{
+    BodyError, CodecError, FrameReader, FrameWriter, backend_body, decode, encode, read_backend,
+};
+use haventrack_control::message::{Have, MOST_BYTES, Message, PROTOCOL};
+use haventrack_control::record::{Backend, Change, Key, Kind, Record, Scope, State, Version};
+use proptest::collection::{btree_set, vec};
+use proptest::prelude::*;
+use std::io;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+use tokio::io::{AsyncRead, ReadBuf};
+
+/// Gives bytes in pieces of these sizes, then ends.
+struct Pieces {
+    bytes: Vec<u8>,
+    given: usize,
+    sizes: Vec<usize>,
+    turn: usize,
+}
+
+impl AsyncRead for Pieces {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+        into: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let size = self.sizes[self.turn % self.sizes.len()];
+        let size = size.min(into.remaining()).min(self.bytes.len() - self.given);
+        into.put_slice(&self.bytes[self.given..self.given + size]);
+        self.given += size;
+        self.turn += 1;
+        Poll::Ready(Ok(()))
+    }
+}
+
+fn reader(bytes: Vec<u8>, sizes: Vec<usize>) -> FrameReader<Pieces> {
+    FrameReader::new(Pieces { bytes, given: 0, sizes, turn: 0 })
+}
+
+/// All messages, then how it ended.
+fn read_all(bytes: Vec<u8>, sizes: Vec<usize>) -> (Vec<Message>, Result<(), CodecError>) {
+    let runtime = tokio::runtime::Builder::new_current_thread().build().expect("a runtime");
+    runtime.block_on(async {
+        let (mut reader, mut messages) = (reader(bytes, sizes), Vec::new());
+        loop {
+            match reader.read().await {
+                Ok(Some(message)) => messages.push(message),
+                Ok(None) => return (messages, Ok(())),
+                Err(error) => return (messages, Err(error)),
+            }
+        }
+    })
+}
+
+fn version() -> impl Strategy<Value = Version> {
+    (any::<u64>(), any::<u64>()).prop_map(|(epoch, revision)| Version { epoch, revision })
+}
+
+fn cursor() -> impl Strategy<Value = [Version; 3]> {
+    [version(), version(), version()]
+}
+
+fn kind() -> impl Strategy<Value = Kind> {
+    prop_oneof![Just(Kind::Backend), Just(Kind::Configuration), Just(Kind::Route), Just(Kind::Tenant)]
+}
+
+fn state() -> impl Strategy<Value = State> {
+    prop_oneof![Just(State::Active), Just(State::Draining), Just(State::Gone)]
+}
+
+fn key() -> impl Strategy<Value = Key> {
+    (any::<u32>(), kind(), ".{0,12}").prop_map(|(service, kind, name)| Key {
+        service,
+        kind,
+        name: name.into(),
+    })
+}
+
+fn records() -> impl Strategy<Value = Vec<Record>> {
+    let record = (key(), version(), state(), vec(any::<u8>(), 0..40));
+    let record =
+        record.prop_map(|(key, version, state, body)| Record { key, version, state, body: body.into() });
+    vec(record, 0..8)
+}
+
+fn have() -> impl Strategy<Value = Vec<Have>> {
+    let have = (any::<u16>(), any::<u64>(), cursor());
+    vec(have.prop_map(|(source, epoch, cursor)| Have { source, epoch, cursor }), 0..4)
+}
+
+fn message() -> impl Strategy<Value = Message> {
+    let scope = prop_oneof![Just(Scope::All), btree_set(any::<u32>(), 0..20).prop_map(Scope::Services),];
+    let bound = || proptest::option::of((kind(), ".{0,12}").prop_map(|(kind, name)| (kind, name.into())));
+    let change = (key(), state(), vec(any::<u8>(), 0..40));
+    let change = change.prop_map(|(key, state, body)| Change { key, state, body: body.into() });
+    prop_oneof![
+        (".{0,12}", scope, have()).prop_map(|(name, scope, have)| Message::Hello {
+            protocol: PROTOCOL,
+            name,
+            scope,
+            have
+        }),
+        ".{0,12}".prop_map(|name| Message::Welcome { protocol: PROTOCOL, name }),
+        Just(Message::Alive),
+        (any::<u16>(), any::<u64>(), cursor(), cursor(), records(), any::<Option<u64>>()).prop_map(
+            |(source, epoch, from, to, records, check)| Message::Batch {
+                source,
+                epoch,
+                from,
+                to,
+                records,
+                check
+            }
+        ),
+        (any::<u16>(), any::<u64>(), any::<(u32, u32)>(), cursor(), any::<Vec<(u32, u64)>>()).prop_map(
+            |(source, epoch, covers, to, digests)| Message::Summary { source, epoch, covers, to, digests }
+        ),
+        (any::<u16>(), any::<u64>(), version(), any::<u32>(), bound(), bound(), records()).prop_map(
+            |(source, epoch, as_of, service, after, upto, records)| Message::Whole {
+                source,
+                epoch,
+                as_of,
+                service,
+                after,
+                upto,
+                records
+            }
+        ),
+        have().prop_map(|have| Message::Resume { have }),
+        any::<u16>().prop_map(|source| Message::Compare { source }),
+        (any::<u16>(), any::<Vec<u32>>()).prop_map(|(source, services)| Message::Want { source, services }),
+        (any::<u64>(), vec(change, 0..8)).prop_map(|(id, changes)| Message::Write { id, changes }),
+        (any::<u64>(), version(), proptest::option::of(".{0,20}"))
+            .prop_map(|(id, version, why)| { Message::Written { id, result: why.map_or(Ok(version), Err) } }),
+        ".{0,40}".prop_map(|why| Message::Goodbye { why }),
+    ]
+}
+
+proptest! {
+    #[test]
+    fn messages_come_back_as_they_went_however_they_are_cut(
+        messages in vec(message(), 0..6),
+        sizes in vec(1_usize..200, 1..5),
+    ) {
+        let bytes: Vec<u8> = messages.iter().flat_map(|m| encode(m).expect("short enough")).collect();
+        let (came, end) = read_all(bytes, sizes);
+        prop_assert_eq!(came, messages);
+        prop_assert!(end.is_ok());
+    }
+
+    #[test]
+    fn a_message_cut_in_the_middle_is_none_and_those_before_it_are_whole(
+        messages in vec(message(), 1..4),
+        cut in any::<prop::sample::Index>(),
+        sizes in vec(1_usize..200, 1..5),
+    ) {
+        let frames: Vec<Vec<u8>> = messages.iter().map(|m| encode(m).expect("short enough")).collect();
+        let (last, before) = frames.split_last().expect("one at the least");
+        // Between its first byte and the last but one.
+        let had = 1 + cut.index(last.len() - 1);
+        let mut bytes = before.concat();
+        bytes.extend_from_slice(&last[..had]);
+        let (came, end) = read_all(bytes, sizes);
+        prop_assert_eq!(came.as_slice(), &messages[..before.len()]);
+        let cut_off = matches!(end, Err(CodecError::CutOff { had: h }) if h == had);
+        prop_assert!(cut_off, "{:?}", end);
+    }
+
+    #[test]
+    fn garbage_is_an_error_or_a_message_that_would_be_written_likewise(bytes in vec(any::<u8>(), 0..400)) {
+        // Whatever these bytes happen to mean can be written again; nothing panics.
+        if let Ok(message) = decode(&bytes) {
+            let again = encode(&message).expect("short enough");
+            prop_assert_eq!(decode(&again[4..]).expect("what was written"), message);
+        }
+        let (_, _) = read_all(bytes, vec![7]);
+    }
+
+    #[test]
+    fn a_changed_byte_never_brings_a_panic(
+        message in message(), at in any::<prop::sample::Index>(), byte in any::<u8>(),
+    ) {
+        let mut bytes = encode(&message).expect("short enough");
+        let at = at.index(bytes.len());
+        bytes[at] = byte;
+        let (came, end) = read_all(bytes, vec![64]);
+        prop_assert!(came.len() <= 1 || end.is_err(), "one message is never several whole ones");
+    }
+
+    #[test]
+    fn a_backend_comes_back_as_it_went_and_garbage_is_none(
+        address in any::<std::net::SocketAddrV4>(),
+        locality in ".{0,12}",
+        flavor in ".{0,12}",
+        cell in any::<u16>(),
+        size in 0.001_f64..1e6,
+        up_since_ms in any::<u64>(),
+        garbage in vec(any::<u8>(), 0..60),
+    ) {
+        let backend = Backend { address, locality, flavor, cell, size, up_since_ms };
+        let body = backend_body(&backend);
+        prop_assert_eq!(read_backend(&body), Ok(backend));
+        let mut longer = body.to_vec();
+        longer.push(0);
+        let left_over = matches!(read_backend(&longer), Err(BodyError::Malformed { .. }));
+        prop_assert!(left_over);
+        let _ = read_backend(&garbage);
+    }
+}
+
+fn body_of(message: &Message) -> Vec<u8> {
+    encode(message).expect("short enough").split_off(4)
+}
+
+#[test]
+fn a_message_beyond_the_bound_is_refused_by_its_length_alone_on_either_side() {
+    let why = |bytes| Message::Goodbye { why: "x".repeat(bytes) };
+    // One byte for the place of the message, three for the length of the text.
+    let longest = MOST_BYTES - 4;
+    assert_eq!(body_of(&why(longest)).len(), MOST_BYTES);
+    let (came, end) = read_all(encode(&why(longest)).expect("just fits"), vec![100_000]);
+    assert_eq!((came, end.is_ok()), (vec![why(longest)], true));
+    let error = encode(&why(longest + 1)).expect_err("too long");
+    assert!(matches!(error, CodecError::TooLong { bytes, most: MOST_BYTES } if bytes == MOST_BYTES + 1));
+
+    for bytes in [MOST_BYTES + 1, u32::MAX as usize] {
+        let prefix = u32::try_from(bytes).expect("fits").to_be_bytes();
+        let (came, end) = read_all(prefix.to_vec(), vec![1]);
+        let error = end.expect_err("too long");
+        assert!(came.is_empty());
+        assert!(matches!(error, CodecError::TooLong { bytes: b, most: MOST_BYTES } if b == bytes), "{error}");
+        assert_eq!(
+            error.to_string(),
+            format!(
+                "a message of {bytes} bytes is too long, {MOST_BYTES} bytes at most are taken; send it in parts"
+            )
+        );
+    }
+}
+
+/// Hello and Welcome keep their places and begin with their version, whatever else another version does: else parties of
+/// two versions could only say that they don't understand one another.
+#[test]
+fn a_greeting_of_another_version_is_told_by_its_version_whatever_follows() {
+    let hello = Message::Hello { protocol: PROTOCOL, name: "n".into(), scope: Scope::All, have: Vec::new() };
+    let welcome = Message::Welcome { protocol: PROTOCOL, name: "n".into() };
+    for message in [hello, welcome] {
+        let bytes = body_of(&message);
+        assert_eq!(decode(&bytes).expect("our words"), message);
+        let theirs = PROTOCOL + 1;
+        let mut other = vec![bytes[0]];
+        other.push(u8::try_from(theirs).expect("one byte"));
+        other.extend_from_slice(b"\xff\xfe whatever they say in that version");
+        let error = decode(&other).expect_err("other words");
+        assert!(matches!(error, CodecError::OtherVersion { theirs: t } if t == theirs), "{error}");
+        assert!(error.to_string().contains(&format!("protocol {theirs} is not spoken here, {PROTOCOL} is")));
+    }
+}
+
+#[test]
+fn bytes_left_over_are_no_message() {
+    let mut bytes = body_of(&Message::Alive);
+    bytes.extend_from_slice(b"ab");
+    let error = decode(&bytes).expect_err("too much");
+    assert!(
+        matches!(&error, CodecError::NotUnderstood { bytes: 3, problem } if problem == "2 bytes are left over"),
+        "{error}"
+    );
+}
+
+/// A length says little: a list that claims to be long is not believed before its entries are there.
+#[test]
+fn a_list_that_claims_to_be_long_is_cut_off_not_made_room_for() {
+    let mut bytes = body_of(&Message::Want { source: 1, services: Vec::new() });
+    assert_eq!(bytes.pop(), Some(0), "the length of the list is last");
+    // u64::MAX as a varint.
+    bytes.extend_from_slice(&[0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0x01]);
+    assert!(matches!(decode(&bytes), Err(CodecError::NotUnderstood { .. })));
+}
+
+#[test]
+fn sizes_that_cannot_be_weighed_are_none() {
+    for size in [0.0, -1.0, f64::NAN, f64::INFINITY] {
+        let backend = Backend {
+            address: "127.0.0.1:1".parse().expect("an address"),
+            locality: "a".into(),
+            flavor: String::new(),
+            cell: 0,
+            size,
+            up_since_ms: 0,
+        };
+        assert!(matches!(read_backend(&backend_body(&backend)), Err(BodyError::Size(_))), "{size}");
+    }
+}
+
+#[tokio::test]
+async fn what_went_and_came_is_counted() {
+    let (ours, theirs) = tokio::io::duplex(1 << 20);
+    let (mut writer, mut reader) = (FrameWriter::new(ours), FrameReader::new(theirs));
+    let message = Message::Goodbye { why: "counted".into() };
+    for _ in 0..3 {
+        writer.write(&message).await.expect("written");
+        assert_eq!(reader.read().await.expect("read"), Some(message.clone()));
+    }
+    let bytes = 3 * encode(&message).expect("short enough").len() as u64;
+    assert_eq!((writer.given(), reader.taken()), (bytes, bytes));
+    writer.end().await;
+    assert_eq!(reader.read().await.expect("ended"), None);
+}
--- /dev/null
+++ b/crates/control/tests/feed.rs
@@ -0,0 +1,500 @@
+//! What upstream says to whom, in which order and at which pace.
+
+use haventrack_control::Millis;
+use haventrack_control::feed::{MOST_SCOPE, Next, Pace};
+use haventrack_control::ledger::{Ledger, MOST_BODY, MOST_NAME, WriteError};
+use haventrack_control::message::{Have, MOST_BYTES, Message, PROTOCOL};
+use haventrack_control::record::{Change, Key, Kind, Record, Scope, ServiceId, State, Version};
+use haventrack_control::relay::Relay;
+use haventrack_control::source::{Refusal, Source};
+use haventrack_control::subscriber::Subscriber;
+use proptest::prelude::*;
+use std::sync::Arc;
+
+const FAST: Pace = Pace { bytes_per_s: 100_000_000, burst: 100_000_000 };
+/// The subscriber's connection.
+const LINE: u64 = 1;
+
+fn change(service: ServiceId, kind: Kind, name: &str, state: State, size: usize) -> Change {
+    let body = if state == State::Gone { Arc::from([]) } else { vec![7; size].into() };
+    Change { key: Key { service, kind, name: name.into() }, state, body }
+}
+
+fn write(source: &mut Source, change: Change) -> Version {
+    let answers =
+        source.on_message(9, Message::Write { id: 1, changes: vec![change] }, 0).expect("it may be said");
+    match answers[..] {
+        [Message::Written { id: 1, result: Ok(version) }] => version,
+        _ => panic!("{answers:?}"),
+    }
+}
+
+fn backend(source: &mut Source, service: ServiceId, name: &str, state: State) -> Version {
+    write(source, change(service, Kind::Backend, name, state, 60))
+}
+
+fn source(pace: Pace) -> Source {
+    Source::new("source", Ledger::new(0, 1), pace)
+}
+
+fn services(services: impl IntoIterator<Item = ServiceId>) -> Scope {
+    Scope::Services(services.into_iter().collect())
+}
+
+/// All that is said at one moment, answers taken back until nobody has anything to say.
+fn converse(source: &mut Source, subscriber: &mut Subscriber, now: Millis) -> Vec<Message> {
+    let mut said = Vec::new();
+    while let Next::Send(message) = source.next(LINE, now) {
+        said.push(message.clone());
+        for reply in subscriber.on_message(message, now).expect("it is taken").replies {
+            assert_eq!(source.on_message(LINE, reply, now), Ok(Vec::new()));
+        }
+    }
+    said
+}
+
+/// Connects and says all that is there.
+fn connect(source: &mut Source, subscriber: &mut Subscriber, now: Millis) -> Vec<Message> {
+    source.leave(LINE);
+    let welcome = source.on_message(LINE, subscriber.hello(), now).expect("hello is taken");
+    assert!(matches!(welcome[..], [Message::Welcome { protocol: PROTOCOL, .. }]));
+    converse(source, subscriber, now)
+}
+
+fn agree(source: &Source, subscriber: &Subscriber, scope: &Scope) {
+    let truth: Vec<&Record> =
+        source.ledger().live().filter(|record| scope.holds(record.key.service)).collect();
+    let held: Vec<&Record> = subscriber.ledgers().flat_map(|(_, ledger)| ledger.live()).collect();
+    assert_eq!(truth, held);
+}
+
+fn records(said: &[Message]) -> Vec<&Record> {
+    let batches = said.iter().filter_map(|message| match message {
+        Message::Batch { records, .. } => Some(records),
+        _ => None,
+    });
+    batches.flatten().collect()
+}
+
+fn wholes(said: &[Message]) -> Vec<ServiceId> {
+    let wholes = said.iter().filter_map(|message| match message {
+        Message::Whole { service, .. } => Some(*service),
+        _ => None,
+    });
+    wholes.collect()
+}
+
+#[test]
+fn a_slow_subscriber_gets_the_newest_alone_and_holds_no_memory() {
+    let scope = services(0..8);
+    let (mut source, mut subscriber) = (source(FAST), Subscriber::new("agent", scope.clone()));
+    connect(&mut source, &mut subscriber, 0);
+    let before = source.held(LINE);
+    for round in 0..2_000 {
+        for name in ["a", "b"] {
+            let state = if round % 2 == 0 { State::Draining } else { State::Active };
+            backend(&mut source, round % 8, name, state);
+        }
+        assert_eq!(source.held(LINE), before, "the feed's state grew");
+    }
+    let said = converse(&mut source, &mut subscriber, 500);
+    let told = records(&said);
+    assert_eq!(told.len(), 16, "each of 16 records once");
+    assert!(told.iter().all(|record| source.ledger().get(&record.key) == Some(record)));
+    agree(&source, &subscriber, &scope);
+}
+
+#[test]
+fn drains_go_before_additions_before_the_rest_over_all_sources() {
+    let mut sources: Vec<Source> = (0..3).map(|id| Source::new("source", Ledger::new(id, 1), FAST)).collect();
+    let mut relay = Relay::new("relay", &[0, 1, 2], FAST);
+    let scope = services(0..3);
+    let mut subscriber = Subscriber::new("agent", scope);
+    let mut feed = |sources: &mut [Source], relay: &mut Relay, now: Millis| {
+        for (id, source) in sources.iter_mut().enumerate() {
+            while let Next::Send(message) = source.next(5, now) {
+                for answer in relay.from_source(id as u16, message, now).expect("it is taken") {
+                    source.on_message(5, answer, now).expect("it may be said");
+                }
+            }
+        }
+        let mut said = Vec::new();
+        while let Next::Send(message) = relay.next(LINE, now) {
+            said.push(message.clone());
+            for reply in subscriber.on_message(message, now).expect("it is taken").replies {
+                relay.on_message(LINE, reply, now).expect("it may be said");
+            }
+        }
+        said
+    };
+    for (id, source) in sources.iter_mut().enumerate() {
+        source.on_message(5, relay.hello(id as u16), 0).expect("hello is taken");
+        backend(source, id as u32, "old", State::Active);
+    }
+    let hello = Subscriber::new("agent", services(0..3)).hello();
+    relay.on_message(LINE, hello, 0).expect("hello is taken");
+    feed(&mut sources, &mut relay, 0);
+    // The least urgent is said first.
+    for (id, source) in sources.iter_mut().enumerate() {
+        write(source, change(id as u32, Kind::Route, "route", State::Active, 10));
+        for name in ["new", "newer"] {
+            backend(source, id as u32, name, State::Active);
+        }
+        backend(source, id as u32, "old", State::Draining);
+        backend(source, id as u32, "older", State::Draining);
+    }
+    let said = feed(&mut sources, &mut relay, 100);
+    let urgencies: Vec<_> = records(&said).iter().map(|record| record.urgency()).collect();
+    assert_eq!(urgencies.len(), 15);
+    assert!(urgencies.is_sorted(), "{urgencies:?}");
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Never more than the burst and what the rate adds, however it is asked.
+    #[test]
+    fn the_pace_holds(
+        rate in 500..20_000_u32,
+        burst in 2_000..50_000_u32,
+        steps in prop::collection::vec((0..2_000_u64, 0..30_usize, 0..600_usize), 1..60),
+    ) {
+        let mut source = source(Pace { bytes_per_s: rate, burst });
+        let mut subscriber = Subscriber::new("agent", services(0..10));
+        let welcome = source.on_message(LINE, subscriber.hello(), 0).expect("hello is taken");
+        let bytes = |message: &Message| 4 + postcard::to_stdvec(message).expect("it is encoded").len();
+        let mut sent: usize = welcome.iter().map(bytes).sum();
+        let mut now = 0;
+        let mut count = 0;
+        for (wait, writes, size) in steps {
+            now += wait;
+            for place in 0..writes {
+                write(&mut source, change(place as u32 % 12, Kind::Backend, &format!("b{}", count % 50), State::Active, size));
+                count += 1;
+            }
+            while let Next::Send(message) = source.next(LINE, now) {
+                sent += bytes(&message);
+                for reply in subscriber.on_message(message, now).expect("it is taken").replies {
+                    source.on_message(LINE, reply, now).expect("it may be said");
+                }
+                let most = f64::from(burst) + f64::from(rate) * now as f64 / 1_000.0;
+                prop_assert!(sent as f64 <= most, "{sent} bytes after {now} ms, {most} at the most");
+            }
+            if let Next::Wait(until) = source.next(LINE, now) {
+                prop_assert!(until > now, "a wait that is over would be asked for ever");
+            }
+        }
+    }
+
+    /// The weight by which is paced is no less than the bytes on the wire, and not much more.
+    #[test]
+    fn a_weight_is_never_less_than_the_bytes(
+        name in "[a-z]{0,200}",
+        size in 0..70_000_usize,
+        (epoch, revision) in any::<(u64, u64)>(),
+        service in any::<u32>(),
+        check in any::<Option<u64>>(),
+        count in 0..300_usize,
+    ) {
+        let version = Version { epoch, revision };
+        let key = Key { service, kind: Kind::Tenant, name: name.as_str().into() };
+        let record = Record { key, version, state: State::Draining, body: vec![1; size].into() };
+        let records = vec![record; count.min(3)];
+        let bound = Some((Kind::Route, Arc::from(name.as_str())));
+        let messages = [
+            Message::Alive,
+            Message::Welcome { protocol: PROTOCOL, name: name.clone() },
+            Message::Batch {
+                source: 999, epoch, from: [version; 3], to: [version; 3], records: records.clone(), check,
+            },
+            Message::Summary {
+                source: 9, epoch, covers: (3, service), to: [version; 3], digests: vec![(service, revision); count],
+            },
+            Message::Whole {
+                source: 9, epoch, as_of: version, service, after: bound.clone(), upto: bound, records,
+            },
+            Message::Goodbye { why: name },
+        ];
+        for message in messages {
+            let bytes = 4 + postcard::to_stdvec(&message).expect("it is encoded").len();
+            prop_assert!(message.weight() >= bytes, "{} weighs {}, is {bytes}", message.name(), message.weight());
+            prop_assert!(message.weight() <= bytes + 20, "{} weighs {}, is {bytes}", message.name(), message.weight());
+        }
+    }
+}
+
+#[test]
+fn no_message_is_too_large() {
+    let scope = services([1, 2]);
+    let mut source = source(Pace::default());
+    let mut subscriber = Subscriber::new("agent", scope.clone());
+    for name in 0..3_000 {
+        backend(&mut source, 1, &format!("backend-{name:05}"), State::Active);
+    }
+    write(&mut source, change(2, Kind::Configuration, &"c".repeat(MOST_NAME), State::Active, MOST_BODY));
+    let mut said = connect(&mut source, &mut subscriber, 0);
+    // The largest record is more than all tokens at once: it goes once there won't be more.
+    let mut now = 0;
+    while now < 120_000 {
+        now += 100;
+        said.extend(converse(&mut source, &mut subscriber, now));
+    }
+    agree(&source, &subscriber, &scope);
+    let parts = wholes(&said).iter().filter(|service| **service == 1).count();
+    assert!(parts > 3, "a large service comes in parts, not {parts}");
+    for message in &said {
+        let bytes = postcard::to_stdvec(message).expect("it is encoded").len();
+        assert!(bytes <= MOST_BYTES, "{} of {bytes} bytes", message.name());
+    }
+}
+
+#[test]
+fn a_write_beyond_a_bound_is_refused_whole() {
+    let mut source = source(FAST);
+    let cases = [
+        change(1, Kind::Backend, &"n".repeat(MOST_NAME + 1), State::Active, 1),
+        change(1, Kind::Backend, "b", State::Active, MOST_BODY + 1),
+        Change { body: Arc::from([1]), ..change(1, Kind::Backend, "b", State::Gone, 0) },
+    ];
+    for bad in cases {
+        let why = Ledger::examine(&bad).expect_err("it is beyond a bound").to_string();
+        let changes = vec![change(1, Kind::Backend, "good", State::Active, 1), bad];
+        let answers = source.on_message(9, Message::Write { id: 4, changes }, 0);
+        assert_eq!(answers, Ok(vec![Message::Written { id: 4, result: Err(why) }]));
+        assert_eq!(source.ledger().live().count(), 0, "all or none");
+        assert_eq!(source.ledger().head().revision, 0);
+    }
+    let long = change(1, Kind::Backend, "b", State::Active, MOST_BODY + 1);
+    let error =
+        WriteError::TooLong { what: "the body", name: "b".into(), bytes: MOST_BODY + 1, most: MOST_BODY };
+    assert_eq!(Ledger::examine(&long), Err(error));
+}
+
+/// Where there are more changes of the same urgency than the pace allows, the sources take turns.
+#[test]
+fn no_source_starves_another() {
+    let mut sources: Vec<Source> = (0..3).map(|id| Source::new("source", Ledger::new(id, 1), FAST)).collect();
+    let mut relay = Relay::new("relay", &[0, 1, 2], Pace { bytes_per_s: 2_000, burst: 2_000 });
+    let mut subscriber = Subscriber::new("agent", services(0..3));
+    for (id, source) in sources.iter_mut().enumerate() {
+        source.on_message(5, relay.hello(id as u16), 0).expect("hello is taken");
+    }
+    relay.on_message(LINE, subscriber.hello(), 0).expect("hello is taken");
+    let mut told = [0_usize; 3];
+    for now in (0..30_000).step_by(50) {
+        for (id, source) in sources.iter_mut().enumerate() {
+            // Far more than the pace, at any time, after all have begun.
+            if now > 1_000 {
+                (0..20).for_each(|place| {
+                    backend(source, id as u32, &format!("b{}", (now + place) % 997), State::Active);
+                });
+            }
+            while let Next::Send(message) = source.next(5, now) {
+                for answer in relay.from_source(id as u16, message, now).expect("it is taken") {
+                    source.on_message(5, answer, now).expect("it may be said");
+                }
+            }
+        }
+        while let Next::Send(message) = relay.next(LINE, now) {
+            if let Message::Batch { source, records, .. } = &message {
+                told[usize::from(*source)] += records.len();
+            }
+            for reply in subscriber.on_message(message, now).expect("it is taken").replies {
+                relay.on_message(LINE, reply, now).expect("it may be said");
+            }
+        }
+    }
+    let (least, most) = (told.iter().min().expect("some"), told.iter().max().expect("some"));
+    assert!(*least > 100 && most - least <= least / 5, "{told:?}");
+}
+
+/// More services than one summary or one question holds; a part of the summary is lost.
+#[test]
+fn many_services_are_told_in_parts() {
+    let mut source = source(FAST);
+    for service in 0..10_000 {
+        backend(&mut source, service * 3, "b", State::Active);
+    }
+    let mut subscriber = Subscriber::new("agent", Scope::All);
+    source.on_message(LINE, subscriber.hello(), 0).expect("hello is taken");
+    let (mut now, mut parts, mut asked) = (0, 0, 0);
+    while now < 10_000 {
+        let mut replies = subscriber.tick(now);
+        while let Next::Send(message) = source.next(LINE, now) {
+            parts += usize::from(matches!(message, Message::Summary { .. }));
+            if matches!(message, Message::Summary { .. }) && parts == 2 {
+                continue;
+            }
+            replies.extend(subscriber.on_message(message, now).expect("it is taken").replies);
+            for reply in replies.drain(..) {
+                asked += usize::from(matches!(reply, Message::Want { .. }));
+                assert_eq!(source.on_message(LINE, reply, now), Ok(vec![]));
+            }
+        }
+        now += 100;
+    }
+    assert!(parts >= 6, "three parts, the second lost, and three more: {parts}");
+    assert_eq!(asked, 3, "4,096 services at a time");
+    agree(&source, &subscriber, &Scope::All);
+}
+
+#[test]
+fn one_behind_the_tombstones_is_repaired_with_what_differs_alone() {
+    let scope = services(0..50);
+    let ledger = Ledger::new(0, 1).with_most_tombstones(10);
+    let mut source = Source::new("source", ledger, FAST);
+    let mut subscriber = Subscriber::new("agent", scope.clone());
+    for service in 0..50 {
+        for name in 0..20 {
+            backend(&mut source, service, &format!("b{name}"), State::Active);
+        }
+    }
+    connect(&mut source, &mut subscriber, 0);
+    agree(&source, &subscriber, &scope);
+    // It is away; in three services more is gone than tombstones are kept, one out of scope changes as well.
+    source.leave(LINE);
+    for service in [3, 17, 41] {
+        (0..6).for_each(|name| {
+            backend(&mut source, service, &format!("b{name}"), State::Gone);
+        });
+    }
+    backend(&mut source, 70, "b", State::Active);
+    assert_eq!(source.ledger().tombstone_count(), 10);
+    let said = connect(&mut source, &mut subscriber, 1_000);
+    assert_eq!(said.iter().filter(|message| matches!(message, Message::Summary { .. })).count(), 1);
+    assert_eq!(wholes(&said), [3, 17, 41], "these differ and no others");
+    agree(&source, &subscriber, &scope);
+    // As long as the tombstones reach, the log is enough.
+    source.leave(LINE);
+    (0..10).for_each(|name| {
+        backend(&mut source, 5, &format!("b{name}"), State::Gone);
+    });
+    let said = connect(&mut source, &mut subscriber, 2_000);
+    assert!(said.iter().all(|message| matches!(message, Message::Batch { .. } | Message::Alive)), "{said:?}");
+    assert_eq!(records(&said).len(), 10);
+    agree(&source, &subscriber, &scope);
+}
+
+/// A start of the source without loss costs a summary, and no records.
+#[test]
+fn a_new_epoch_with_the_same_records_sends_none() {
+    let scope = services(0..50);
+    let mut source = source(FAST);
+    let mut subscriber = Subscriber::new("agent", scope.clone());
+    for service in 0..50 {
+        backend(&mut source, service, "b", State::Active);
+    }
+    connect(&mut source, &mut subscriber, 0);
+    let records = source.ledger().live().cloned().collect();
+    let mut source = Source::new("source", Ledger::restore(0, 2, source.ledger().head(), records), FAST);
+    let said = connect(&mut source, &mut subscriber, 1_000);
+    assert!(wholes(&said).is_empty());
+    let version = backend(&mut source, 3, "b", State::Draining);
+    assert_eq!(version, Version { epoch: 2, revision: 51 });
+    converse(&mut source, &mut subscriber, 1_100);
+    agree(&source, &subscriber, &scope);
+}
+
+#[test]
+fn quiet_upstream_says_each_second_that_it_is_alive_and_checks_each_ten() {
+    let scope = services([1]);
+    let (mut source, mut subscriber) = (source(FAST), Subscriber::new("agent", scope));
+    backend(&mut source, 1, "b", State::Active);
+    connect(&mut source, &mut subscriber, 0);
+    let (mut words, mut checks) = (0, 0);
+    let mut now = 0;
+    while now <= 60_000 {
+        match source.next(LINE, now) {
+            Next::Send(message) => {
+                words += 1;
+                checks += usize::from(matches!(message, Message::Batch { check: Some(_), .. }));
+                assert_eq!(subscriber.on_message(message, now).expect("it is taken").replies, []);
+            }
+            Next::Wait(until) => {
+                assert!(until > now && until <= now + 1_000);
+                now = until;
+            }
+        }
+    }
+    assert!((55..=65).contains(&words), "{words} words in a minute");
+    assert_eq!(checks, 6);
+}
+
+/// What happens out of scope is not sent, but how far one is: else a long absence would cost a long look into the log.
+#[test]
+fn what_is_out_of_scope_costs_one_word_a_second() {
+    let scope = services([1]);
+    let (mut source, mut subscriber) = (source(FAST), Subscriber::new("agent", scope.clone()));
+    backend(&mut source, 1, "b", State::Active);
+    connect(&mut source, &mut subscriber, 0);
+    let mut said = Vec::new();
+    for now in 0..5_000 {
+        backend(&mut source, 2, &format!("b{}", now % 7), State::Active);
+        said.extend(converse(&mut source, &mut subscriber, now));
+    }
+    assert!(records(&said).is_empty());
+    assert!(said.len() <= 6, "{} messages in 5 s", said.len());
+    let Message::Hello { have, .. } = subscriber.hello() else { panic!("hello is Hello") };
+    assert!(have[0].cursor[0].revision > 4_000);
+}
+
+#[test]
+fn what_must_not_be_said_ends_the_connection() {
+    let mut source = source(FAST);
+    let hello = Subscriber::new("agent", services([1])).hello();
+    let out_of_turn =
+        |result: Result<Vec<Message>, Refusal>| matches!(result, Err(Refusal::OutOfTurn { .. }));
+    assert!(out_of_turn(source.on_message(LINE, Message::Compare { source: 0 }, 0)), "before hello");
+    assert!(matches!(source.next(LINE, 0), Next::Wait(_)), "before hello there is nothing");
+    source.on_message(LINE, hello.clone(), 0).expect("hello is taken");
+    assert!(out_of_turn(source.on_message(LINE, hello.clone(), 0)), "hello twice");
+    assert!(out_of_turn(source.on_message(LINE, Message::Alive, 0)), "what upstream says");
+    let other = Message::Hello { protocol: PROTOCOL + 1, name: "x".into(), scope: Scope::All, have: vec![] };
+    assert_eq!(
+        source.on_message(2, other, 0),
+        Err(Refusal::Protocol { theirs: PROTOCOL + 1, ours: PROTOCOL })
+    );
+    let wide = Subscriber::new("agent", services(0..=MOST_SCOPE as u32)).hello();
+    assert!(matches!(source.on_message(2, wide, 0), Err(Refusal::TooMany { .. })));
+    let have = (0..300).map(|source| Have { source, epoch: 1, cursor: Default::default() }).collect();
+    let many = Message::Hello { protocol: PROTOCOL, name: "x".into(), scope: Scope::All, have };
+    assert!(matches!(source.on_message(2, many, 0), Err(Refusal::TooMany { .. })));
+    let services = (0..5_000).collect();
+    let want = Message::Want { source: 0, services };
+    assert!(matches!(source.on_message(LINE, want, 0), Err(Refusal::TooMany { .. })));
+    let mut source = source.with_most_subscribers(1);
+    assert_eq!(source.on_message(2, hello.clone(), 0), Err(Refusal::Full(1)));
+    source.leave(LINE);
+    assert!(source.on_message(2, hello, 0).is_ok(), "there is room again");
+    let mut relay = Relay::new("relay", &[0], FAST);
+    assert!(out_of_turn(relay.from_source(1, Message::Alive, 0)), "a source that is none of its own");
+    let foreign =
+        Message::Summary { source: 3, epoch: 1, covers: (0, 9), to: Default::default(), digests: vec![] };
+    assert!(out_of_turn(relay.from_source(0, foreign, 0)), "a source that speaks of another's records");
+    let mut subscriber = Subscriber::new("agent", Scope::All);
+    assert!(subscriber.on_message(Message::Compare { source: 0 }, 0).is_err());
+}
+
+/// Requests that come over and over replace one another.
+#[test]
+fn repeated_requests_hold_no_memory() {
+    let scope = services(0..20);
+    let (mut source, mut subscriber) =
+        (source(Pace { bytes_per_s: 100, burst: 2_000 }), Subscriber::new("agent", scope));
+    for service in 0..20 {
+        backend(&mut source, service, "b", State::Active);
+    }
+    connect(&mut source, &mut subscriber, 0);
+    for round in 0..1_000 {
+        let services = (0..4_000).map(|service| service * 7 % 100).collect();
+        source.on_message(LINE, Message::Want { source: 0, services }, round).expect("it may be said");
+        source.on_message(LINE, Message::Compare { source: 0 }, round).expect("it may be said");
+        assert!(source.held(LINE) <= 20 + 1 + 20);
+    }
+    // And they are paced as all else is.
+    let mut sent = 0;
+    while let Next::Send(message) = source.next(LINE, 1_000) {
+        sent += message.weight();
+    }
+    assert!(sent <= 2_100, "{sent} bytes");
+}
--- /dev/null
+++ b/crates/control/tests/link.rs
@@ -0,0 +1,300 @@
+//! Many subscribers on one thread over real connections, in virtual time: it runs on where nobody has anything to do.
+
+use haventrack_control::Millis;
+use haventrack_control::codec::{FrameReader, FrameWriter};
+use haventrack_control::config::{PaceConfig, RelayConfig, SourceAddress, SourceConfig};
+use haventrack_control::failover::Failover;
+use haventrack_control::message::Message;
+use haventrack_control::record::{Change, Key, Kind, Scope, State};
+use haventrack_control::shell::Clock;
+use haventrack_control::shell::link::{LinkError, Party, follow};
+use haventrack_control::shell::writer::Writer;
+use haventrack_control::shell::{relay, source};
+use haventrack_control::source::Refusal;
+use haventrack_control::subscriber::Subscriber;
+use std::cell::{Cell, RefCell};
+use std::future::pending;
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::sync::atomic::{AtomicU16, Ordering};
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpSocket};
+use tokio::task::{JoinHandle, LocalSet, spawn_local};
+use tokio::time::{Instant, sleep, timeout};
+
+/// Virtual time that is far beyond what anything takes.
+const PATIENCE: Duration = Duration::from_secs(7_200);
+const FOLLOWERS: usize = 120;
+
+/// Addresses of this process's own, unlike those of tests over processes.
+fn address() -> SocketAddr {
+    static TAKEN: AtomicU16 = AtomicU16::new(0);
+    let [high, low, ..] = (std::process::id() as u16).to_be_bytes();
+    let taken = TAKEN.fetch_add(1, Ordering::Relaxed);
+    SocketAddrV4::new(Ipv4Addr::new(127, 192 + (taken % 32) as u8, high, low), 7500 + taken / 32).into()
+}
+
+/// A party with all its connections, which ends with this.
+struct Running(JoinHandle<()>);
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+fn start_relay(config: RelayConfig, pace: PaceConfig) -> Running {
+    // A set of its own, so that connections end with it.
+    Running(spawn_local(async move {
+        LocalSet::new().run_until(relay::run(&config, &pace, pending())).await.expect("it runs");
+    }))
+}
+
+/// A folder of a test's own, removed with it.
+struct Folder(PathBuf);
+
+impl Folder {
+    fn new(test: &str) -> Self {
+        let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{test}-{}", std::process::id()));
+        std::fs::create_dir_all(&path).expect("a folder");
+        Self(path)
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+fn start_source(folder: &Folder, listen: SocketAddr) -> Running {
+    let config = SourceConfig {
+        id: 1,
+        name: "s".into(),
+        listen,
+        snapshot: folder.0.join("source.snapshot"),
+        snapshot_every_ms: 3_600_000,
+        connections: 8,
+    };
+    Running(spawn_local(async move {
+        let pace = PaceConfig::default();
+        LocalSet::new().run_until(source::run(&config, &pace, pending())).await.expect("it runs");
+    }))
+}
+
+struct Counted {
+    subscriber: Subscriber,
+    /// The relay that it follows.
+    on: Option<String>,
+    /// How often it was said to follow one, and how many welcomes it heard.
+    greeted: (usize, usize),
+    moves: usize,
+    losses: usize,
+    applied: usize,
+    came: u64,
+}
+
+impl Party for Counted {
+    fn hello(&mut self) -> Message {
+        self.subscriber.hello()
+    }
+    fn on_message(&mut self, message: Message, now: Millis) -> Result<Vec<Message>, Refusal> {
+        self.greeted.1 += usize::from(matches!(message, Message::Welcome { .. }));
+        let heard = self.subscriber.on_message(message, now)?;
+        self.applied += heard.applied.len();
+        Ok(heard.replies)
+    }
+    fn tick(&mut self, now: Millis) -> Vec<Message> {
+        self.subscriber.tick(now)
+    }
+    fn connected(&mut self, upstream: &str) {
+        self.greeted.0 += 1;
+        if self.on.replace(upstream.to_owned()).is_some() {
+            self.moves += 1;
+        }
+    }
+    fn lost(&mut self, _: &str, _: &LinkError) {
+        self.on = None;
+        self.losses += 1;
+    }
+    fn transferred(&mut self, came: u64, _: u64) {
+        self.came += came;
+    }
+}
+
+/// Takes connections and says nothing on them. Counts them.
+async fn mute(address: SocketAddr) -> (Running, Rc<Cell<usize>>) {
+    let (listener, taken) = (TcpListener::bind(address).await.expect("free"), Rc::new(Cell::new(0)));
+    let count = Rc::clone(&taken);
+    let running = Running(spawn_local(async move {
+        let mut held = Vec::new();
+        loop {
+            held.push(listener.accept().await.expect("a call"));
+            count.set(count.get() + 1);
+        }
+    }));
+    (running, taken)
+}
+
+async fn wait_for(what: &str, mut holds: impl FnMut() -> bool) {
+    let end = Instant::now() + PATIENCE;
+    while !holds() {
+        assert!(Instant::now() < end, "waited in vain for: {what}");
+        sleep(Duration::from_millis(100)).await;
+    }
+}
+
+fn change(name: String) -> Change {
+    sized(name, 30)
+}
+
+fn sized(name: String, bytes: usize) -> Change {
+    let key = Key { service: 1, kind: Kind::Route, name: name.into() };
+    Change { key, state: State::Active, body: vec![1; bytes].into() }
+}
+
+#[tokio::test(start_paused = true)]
+async fn followers_spread_over_relays_leave_one_that_is_gone_and_return_once_it_is_back() {
+    LocalSet::new().run_until(spread()).await;
+}
+
+async fn spread() {
+    let (folder, at) = (Folder::new("spread"), address());
+    let _source = start_source(&folder, at);
+    let relays: Vec<(String, SocketAddr)> = (0..3).map(|n| (format!("relay-{n}"), address())).collect();
+    let relay = |place: usize| {
+        start_relay(
+            RelayConfig {
+                name: relays[place].0.clone(),
+                listen: relays[place].1,
+                sources: vec![SourceAddress { id: 1, address: at }],
+                connections: FOLLOWERS,
+            },
+            PaceConfig::default(),
+        )
+    };
+    let mut running: Vec<_> = (0..3).map(|place| Some(relay(place))).collect();
+    let names: Vec<String> = relays.iter().map(|(name, _)| name.clone()).collect();
+    let clock = Clock::start();
+    let parties: Vec<_> = (0..FOLLOWERS)
+        .map(|n| {
+            let name = format!("agent-{n}");
+            let scope = Scope::Services([1].into());
+            let subscriber = Subscriber::new(&name, scope);
+            let party =
+                Counted { subscriber, on: None, greeted: (0, 0), moves: 0, losses: 0, applied: 0, came: 0 };
+            let party = Rc::new(RefCell::new(party));
+            let (followed, relays) = (Rc::clone(&party), relays.clone());
+            spawn_local(async move { follow(followed, relays, &name, n as u64, clock).await });
+            party
+        })
+        .collect();
+    let preferred: Vec<&String> =
+        (0..FOLLOWERS).map(|n| &names[Failover::new(&format!("agent-{n}"), &names, 0).order()[0]]).collect();
+    let all_on_preferred =
+        || parties.iter().zip(&preferred).all(|(p, on)| p.borrow().on.as_ref() == Some(*on));
+    wait_for("all on the relay that they prefer", all_on_preferred).await;
+    let of_first = preferred.iter().filter(|on| **on == &names[0]).count();
+    assert!(
+        (FOLLOWERS / 6..FOLLOWERS / 2).contains(&of_first),
+        "{of_first} of {FOLLOWERS} prefer one of three"
+    );
+
+    let mut writer = Writer::connect(at).await.expect("the source");
+    writer.write((0..10).map(|n| change(format!("r-{n}"))).collect()).await.expect("written");
+    wait_for("all records", || parties.iter().all(|p| p.borrow().applied == 10)).await;
+
+    // Those of the relay that dies move, nobody else does.
+    running[0] = None;
+    let elsewhere = || parties.iter().all(|p| p.borrow().on.as_ref().is_some_and(|on| *on != names[0]));
+    wait_for("all on the others", elsewhere).await;
+    let lost = parties.iter().filter(|p| p.borrow().losses > 0).count();
+    assert_eq!(lost, of_first);
+    writer.write(vec![change("r-10".into())]).await.expect("written");
+    wait_for("the next record", || parties.iter().all(|p| p.borrow().applied == 11)).await;
+
+    // Somebody is there again who says nothing: they try it beside the connection that works, and stay.
+    let losses = || parties.iter().map(|p| p.borrow().losses).sum::<usize>();
+    let before = losses();
+    let mute = mute(relays[0].1).await;
+    wait_for("calls, again after no answer came", || mute.1.get() > of_first).await;
+    sleep(Duration::from_secs(10)).await;
+    assert!(elsewhere());
+    assert_eq!(losses(), before);
+    assert_eq!(parties.iter().map(|p| p.borrow().moves).sum::<usize>(), 0);
+    drop(mute);
+
+    // It is back: they return by themselves, without a loss, and without hearing anything again.
+    running[0] = Some(relay(0));
+    wait_for("all back on the relay that they prefer", all_on_preferred).await;
+    writer.write(vec![change("r-11".into())]).await.expect("written");
+    wait_for("the last record", || parties.iter().all(|p| p.borrow().applied == 12)).await;
+    assert_eq!(losses(), before);
+    assert_eq!(parties.iter().map(|p| p.borrow().moves).sum::<usize>(), of_first);
+    assert!(parties.iter().all(|p| p.borrow().came > 0));
+    // Each welcome, also that of the relay it returned to, is heard by the party: it asks again what was not answered.
+    assert!(parties.iter().all(|p| p.borrow().greeted.0 == p.borrow().greeted.1));
+}
+
+/// Whoever takes nothing for half a minute has its connection ended, and may come back and say how far it is.
+#[tokio::test(start_paused = true)]
+async fn a_subscriber_that_stands_too_long_is_let_go_and_begins_where_it_was() {
+    LocalSet::new().run_until(stands()).await;
+}
+
+async fn stands() {
+    const RECORDS: usize = 40;
+    const BYTES: usize = 60_000;
+    let (folder, at, relay) = (Folder::new("stands"), address(), address());
+    let _source = start_source(&folder, at);
+    let sources = vec![SourceAddress { id: 1, address: at }];
+    let config = RelayConfig { name: "r".into(), listen: relay, sources, connections: 4 };
+    let pace = PaceConfig { agent_bytes_per_s: 1 << 29, agent_burst: 1 << 29, ..PaceConfig::default() };
+    let _relay = start_relay(config, pace);
+    let mut writer = loop {
+        match Writer::connect(at).await {
+            Ok(writer) => break writer,
+            Err(_) => sleep(Duration::from_millis(10)).await,
+        }
+    };
+    writer
+        .write_parts((0..RECORDS).map(|n| sized(format!("r-{n}"), BYTES)).collect())
+        .await
+        .expect("written");
+
+    let mut subscriber = Subscriber::new("stands", Scope::All);
+    let mut ends = 0;
+    let held =
+        |subscriber: &Subscriber| subscriber.ledgers().map(|(_, ledger)| ledger.live_count()).sum::<usize>();
+    let end = Instant::now() + PATIENCE;
+    while held(&subscriber) < RECORDS {
+        assert!(Instant::now() < end, "{} of {RECORDS} after {ends} ends", held(&subscriber));
+        let socket = TcpSocket::new_v4().expect("a socket");
+        socket.set_recv_buffer_size(128 << 10).expect("a buffer");
+        let Ok(stream) = socket.connect(relay).await else {
+            sleep(Duration::from_millis(10)).await;
+            continue;
+        };
+        let (reader, writer) = stream.into_split();
+        let (mut reader, mut writer) = (FrameReader::new(reader), FrameWriter::new(writer));
+        writer.write(&subscriber.hello()).await.expect("said");
+        // The first time it only answers what has to be asked for, and then stands.
+        let mut stood = ends > 0;
+        while let Ok(Some(message)) = timeout(PATIENCE, reader.read()).await.expect("a word each second") {
+            // In parts of a whole service, or in batches where the relay heard of it before the records were written.
+            let some = matches!(&message, Message::Whole { records, .. } | Message::Batch { records, .. } if !records.is_empty());
+            for reply in subscriber.on_message(message, 0).expect("sense").replies {
+                writer.write(&reply).await.expect("said");
+            }
+            if some && !std::mem::replace(&mut stood, true) {
+                sleep(Duration::from_secs(120)).await;
+            }
+            if held(&subscriber) == RECORDS {
+                break;
+            }
+        }
+        ends += 1;
+    }
+    assert_eq!(ends, 2, "it was let go once, and had all after that");
+}
--- /dev/null
+++ b/crates/control/tests/snapshot.rs
@@ -0,0 +1,96 @@
+//! A source's file: whole or not at all, nothing guessed over, nothing overwritten that was not understood.
+
+use haventrack_control::record::{Key, Kind, Record, State, Version};
+use haventrack_control::shell::snapshot::{Keeper, Snapshot, SnapshotError, lock, read};
+use std::fs;
+use std::path::PathBuf;
+
+/// A folder of this test's own, removed with it.
+struct Folder(PathBuf);
+
+impl Folder {
+    fn new(test: &str) -> Self {
+        let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR"))
+            .join(format!("snapshot-{test}-{}", std::process::id()));
+        fs::create_dir_all(&path).expect("a folder");
+        Self(path)
+    }
+
+    fn file(&self) -> PathBuf {
+        self.0.join("source.snapshot")
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = fs::remove_dir_all(&self.0);
+    }
+}
+
+fn snapshot(records: u64) -> Snapshot {
+    let version = |revision| Version { epoch: 9, revision };
+    let record = |n: u64| Record {
+        key: Key { service: 1, kind: Kind::Tenant, name: format!("t-{n}").into() },
+        version: version(n),
+        state: State::Active,
+        body: vec![7; 20].into(),
+    };
+    Snapshot { source: 3, epoch: 9, head: version(records), records: (0..records).map(record).collect() }
+}
+
+#[test]
+fn what_was_kept_is_read_and_none_is_no_error() {
+    let folder = Folder::new("kept");
+    assert_eq!(read(&folder.file(), 3).expect("no file"), None);
+    for records in [5, 2] {
+        snapshot(records).write(&folder.file()).expect("written");
+        assert_eq!(read(&folder.file(), 3).expect("good"), Some(snapshot(records)));
+    }
+}
+
+#[test]
+fn a_file_with_any_byte_changed_or_cut_anywhere_is_damaged_and_left_as_it_is() {
+    let folder = Folder::new("damaged");
+    snapshot(2).write(&folder.file()).expect("written");
+    let good = fs::read(folder.file()).expect("bytes");
+    let changed = (0..good.len()).map(|at| {
+        let mut bytes = good.clone();
+        bytes[at] ^= 1;
+        bytes
+    });
+    let cut = (0..good.len()).map(|at| good[..at].to_vec());
+    for bytes in changed.chain(cut) {
+        fs::write(folder.file(), &bytes).expect("written");
+        let error = read(&folder.file(), 3).expect_err("damaged");
+        assert!(matches!(error, SnapshotError::Damaged(..)), "{error}");
+        assert_eq!(fs::read(folder.file()).expect("bytes"), bytes);
+    }
+}
+
+#[test]
+fn the_file_of_another_source_is_not_taken() {
+    let folder = Folder::new("other");
+    snapshot(1).write(&folder.file()).expect("written");
+    let error = read(&folder.file(), 4).expect_err("another's").to_string();
+    assert!(error.contains("is of source 3, this is source 4"), "{error}");
+}
+
+#[test]
+fn one_process_holds_the_file() {
+    let folder = Folder::new("lock");
+    let held = lock(&folder.file()).expect("free");
+    assert!(matches!(lock(&folder.file()), Err(SnapshotError::Held(_))));
+    drop(held);
+    lock(&folder.file()).expect("free again");
+}
+
+#[tokio::test]
+async fn the_thread_writes_and_says_where_it_could_not() {
+    let folder = Folder::new("thread");
+    let keeper = Keeper::start(folder.file()).expect("a thread");
+    keeper.keep(snapshot(4)).await.expect("written");
+    assert_eq!(read(&folder.file(), 3).expect("good"), Some(snapshot(4)));
+    let nowhere = Keeper::start(folder.0.join("none/source.snapshot")).expect("a thread");
+    let error = nowhere.keep(snapshot(4)).await.expect_err("no folder").to_string();
+    assert!(error.contains("none/source.snapshot.new"), "{error}");
+}
--- /dev/null
+++ b/crates/control/tests/world/watcher.rs
@@ -0,0 +1,69 @@
+//! Judges what a subscriber says came into force, with books of its own.
+
+use haventrack_control::message::Message;
+use haventrack_control::record::{Epoch, Key, Record, Scope, State, Version};
+use haventrack_control::replica::Applied;
+use std::collections::BTreeMap;
+
+/// The life of the source that a message speaks of.
+pub fn epoch(message: &Message) -> Epoch {
+    match message {
+        Message::Batch { epoch, .. } | Message::Summary { epoch, .. } | Message::Whole { epoch, .. } => {
+            *epoch
+        }
+        _ => 0,
+    }
+}
+
+pub struct Watcher {
+    scope: Scope,
+    /// What stands.
+    standing: BTreeMap<Key, Record>,
+    /// The last word of each key, gone ones as well, and in which life of the source it was taken.
+    last: BTreeMap<Key, (Epoch, Version)>,
+    wrongs: Vec<String>,
+}
+
+impl Watcher {
+    pub fn new(scope: Scope) -> Self {
+        Self { scope, standing: BTreeMap::new(), last: BTreeMap::new(), wrongs: Vec::new() }
+    }
+
+    pub fn standing(&self) -> &BTreeMap<Key, Record> {
+        &self.standing
+    }
+
+    pub fn wrongs(&self) -> &[String] {
+        &self.wrongs
+    }
+
+    pub fn see(&mut self, epoch: Epoch, applied: Applied) {
+        let Applied { record, before } = applied;
+        let key = record.key.clone();
+        if !self.scope.holds(key.service) {
+            self.wrongs.push(format!("{key:?} is out of scope"));
+        }
+        if let Some((then, version)) = self.last.insert(key.clone(), (epoch, record.version)) {
+            // Drained, gone or changed: nothing older may come after it in one life of the source.
+            if epoch < then {
+                self.wrongs.push(format!("{key:?}: life {epoch} of the source spoke after life {then}"));
+            }
+            // The same one may: in place of a damaged one.
+            if epoch == then && record.version < version {
+                self.wrongs
+                    .push(format!("{key:?}: {:?} {:?} came over {version:?}", record.state, record.version));
+            }
+        }
+        if self.standing.get(&key) == Some(&record) {
+            self.wrongs.push(format!("{key:?}: {:?} came into force twice", record.version));
+        }
+        let stood = if record.state == State::Gone {
+            self.standing.remove(&key)
+        } else {
+            self.standing.insert(key.clone(), record)
+        };
+        if stood != before {
+            self.wrongs.push(format!("{key:?}: before is said to be {before:?}, was {stood:?}"));
+        }
+    }
+}
