Rig: scale slopes and scale fleet, and a check of the figures that pages take from them

Need: what a proxy costs by its size was known from single looks from outside, and nothing showed whether control state reaches 5,200 proxies.

scale slopes: 39 quantities over real processes at four sizes or more, medians, a line and its deviation as JSON lines. scale fleet: hollow proxies with the real subscriber, relays and sources as processes, real proxies with their agents, a script of faults; in force from the write to the last one in scope, exactness record by record against the rig's own model, cost beside its bounds; four planted faults are found. figures.rs reads the notation by which docs/CAPACITY.md quotes the results.

--- a/crates/rig/src/fleet/keep.rs
+++ b/crates/rig/src/fleet/keep.rs
@@ -9,8 +9,18 @@
 use std::ffi::OsString;
 use std::io;
 use std::os::unix::process::CommandExt;
+use std::path::Path;
 use std::process::Command;
 
+/// The command that has `keeper`, this crate's program, become `program` under so many descriptors. Its parent is the
+/// thread that spawns it, which has to live as long as the program is to.
+#[must_use]
+pub fn command(keeper: &Path, descriptors: u64, program: &Path) -> Command {
+    let mut command = Command::new(keeper);
+    command.arg("keep").arg(std::process::id().to_string()).arg(descriptors.to_string()).arg(program);
+    command
+}
+
 /// Becomes the program. Returns only where that fails.
 #[must_use]
 pub fn become_program(parent: i32, descriptors: u64, command: &[OsString]) -> io::Error {
--- a/crates/rig/src/fleet/mod.rs
+++ b/crates/rig/src/fleet/mod.rs
@@ -9,3 +9,4 @@
 
 pub use day::{FleetError, play};
 pub use processes::Machine;
+pub(crate) use processes::{Folder, Place, Process, cpu_s, memory};
--- a/crates/rig/src/fleet/processes.rs
+++ b/crates/rig/src/fleet/processes.rs
@@ -1,7 +1,7 @@
 //! Processes of the program: started on loopback addresses of their own, asked whether they are ready, signalled, and
 //! ended with the laboratory. They are known by what `spawn` gave, never by a name.
 
-use super::FleetError;
+use super::{FleetError, keep};
 use crate::address::{self, Held};
 use crate::script::Script;
 use crate::sockets::up;
@@ -11,7 +11,7 @@
 use std::fs::{self, File};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, ExitStatus, Stdio};
+use std::process::{Child, ExitStatus, Stdio};
 use std::time::Duration;
 use std::{env, io};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -32,6 +32,9 @@
 /// Clock ticks a second in the kernel's accounts: what Linux shows to programs, whatever its own clock.
 const TICKS: f64 = 100.0;
 
+/// The size of a page in the kernel's account, bytes: what Linux has on all machines that this runs on.
+const PAGE: u64 = 4_096;
+
 /// What the laboratory runs, and under which limits.
 #[derive(Clone, Debug)]
 pub struct Machine {
@@ -50,10 +53,10 @@
 }
 
 /// The folder of a day: one folder for each process with its configuration, `TMPDIR` and log. Gone with the day.
-pub(super) struct Folder(PathBuf);
+pub(crate) struct Folder(PathBuf);
 
 impl Folder {
-    pub(super) fn new() -> io::Result<Self> {
+    pub(crate) fn new() -> io::Result<Self> {
         let number = fastrand::u64(..);
         let path = env::temp_dir().join(format!("haventrack-fleet-{}-{number:x}", std::process::id()));
         fs::create_dir_all(&path)?;
@@ -69,6 +72,10 @@
         let logs = logs.filter(|path| path.is_file()).filter_map(|path| fs::read_to_string(path).ok());
         logs.filter(|text| text.contains(WENT_ON)).count() as u64
     }
+
+    pub(crate) fn path(&self) -> &Path {
+        &self.0
+    }
 }
 
 impl Drop for Folder {
@@ -78,7 +85,7 @@
 }
 
 /// One process.
-pub(super) struct Process {
+pub(crate) struct Process {
     child: Child,
     console: Held,
     log: PathBuf,
@@ -88,7 +95,7 @@
 }
 
 /// A proxy's place: what stays the same over its processes.
-pub(super) struct Place {
+pub(crate) struct Place {
     proxy: usize,
     listen: Held,
     discovery: SocketAddr,
@@ -97,7 +104,7 @@
 }
 
 impl Place {
-    pub(super) fn new(folder: &Folder, proxy: usize, discovery: SocketAddr) -> io::Result<Self> {
+    pub(crate) fn new(folder: &Folder, proxy: usize, discovery: SocketAddr) -> io::Result<Self> {
         let folder = folder.0.join(format!("p{proxy}"));
         fs::create_dir_all(folder.join("tmp"))?;
         let listen = Held::new(address::of_process(proxy))?;
@@ -105,12 +112,12 @@
     }
 
     /// Where clients reach whichever process runs here.
-    pub(super) fn listen(&self) -> SocketAddr {
+    pub(crate) fn listen(&self) -> SocketAddr {
         self.listen.address()
     }
 
     /// Starts a process here. Has to be called on a thread that lives as long as the process is to.
-    pub(super) fn start(&mut self, script: &Script, machine: &Machine, known: &Value) -> io::Result<Process> {
+    pub(crate) fn start(&mut self, script: &Script, machine: &Machine, known: &Value) -> io::Result<Process> {
         self.starts += 1;
         let console = Held::new(address::of_process(self.proxy))?;
         let seed =
@@ -122,11 +129,7 @@
         let file = self.folder.join(format!("config-{}.json", self.starts));
         let log = self.folder.join(format!("log-{}", self.starts));
         fs::write(&file, config.to_string())?;
-        let child = Command::new(&machine.keeper)
-            .arg("keep")
-            .arg(std::process::id().to_string())
-            .arg(machine.descriptors.to_string())
-            .arg(&machine.proxy)
+        let child = keep::command(&machine.keeper, machine.descriptors, &machine.proxy)
             .env("EDGE_CONFIG", &file)
             .env("TMPDIR", self.folder.join("tmp"))
             .stdin(Stdio::null())
@@ -139,7 +142,7 @@
 
 impl Process {
     /// Asks until the process says that it is ready, or is seen to have ended.
-    pub(super) async fn is_ready(&mut self) -> bool {
+    pub(crate) async fn is_ready(&mut self) -> bool {
         let console = self.console();
         let mut ready = std::pin::pin!(Self::wait_until_ready(console));
         loop {
@@ -227,17 +230,22 @@
     }
 
     /// How it ended, if it has.
-    pub(super) fn ended(&mut self) -> Option<ExitStatus> {
+    pub(crate) fn ended(&mut self) -> Option<ExitStatus> {
         self.child.try_wait().ok().flatten()
     }
 
     /// Its processor time so far, seconds.
-    pub(super) fn cpu_s(&self) -> f64 {
+    pub(crate) fn cpu_s(&self) -> f64 {
         cpu_s(self.child.id()).unwrap_or(0.0)
     }
 
+    /// Its memory, bytes.
+    pub(crate) fn memory(&self) -> u64 {
+        memory(self.child.id())
+    }
+
     /// The last lines of its log.
-    pub(super) fn last_words(&self) -> String {
+    pub(crate) fn last_words(&self) -> String {
         let text = fs::read_to_string(&self.log).unwrap_or_default();
         let lines: Vec<&str> = text.lines().rev().take(3).collect();
         lines.into_iter().rev().collect::<Vec<_>>().join(" | ")
@@ -254,7 +262,7 @@
 }
 
 /// Processor time of a process, seconds.
-pub(super) fn cpu_s(id: u32) -> Option<f64> {
+pub(crate) fn cpu_s(id: u32) -> Option<f64> {
     let text = fs::read_to_string(Path::new("/proc").join(id.to_string()).join("stat")).ok()?;
     // The name in brackets may hold blanks; user and system time are the twelfth and thirteenth field behind it.
     let fields: Vec<&str> = text.rsplit_once(')')?.1.split_whitespace().collect();
@@ -262,6 +270,12 @@
     Some((ticks(11)? + ticks(12)?) / TICKS)
 }
 
+/// Memory of a process, bytes; 0 where it is gone.
+pub(crate) fn memory(id: u32) -> u64 {
+    let text = fs::read_to_string(Path::new("/proc").join(id.to_string()).join("statm")).unwrap_or_default();
+    text.split_whitespace().nth(1).and_then(|pages| pages.parse::<u64>().ok()).unwrap_or(0) * PAGE
+}
+
 /// Asks a console; whether it says yes.
 async fn ask(console: SocketAddr, call: &str) -> io::Result<bool> {
     let mut stream = TcpStream::connect(console).await?;
--- a/crates/rig/src/http1.rs
+++ b/crates/rig/src/http1.rs
@@ -78,6 +78,18 @@
 /// # Errors
 /// Where the connection breaks, or what comes is no message.
 pub async fn read(stream: &mut TcpStream, buffer: &mut Vec<u8>, answer: bool) -> io::Result<Option<Message>> {
+    Ok(read_sized(stream, buffer, answer).await?.map(|(_, message)| message))
+}
+
+/// As [`read`], with the bytes that the message had on the wire.
+///
+/// # Errors
+/// Where the connection breaks, or what comes is no message.
+pub async fn read_sized(
+    stream: &mut TcpStream,
+    buffer: &mut Vec<u8>,
+    answer: bool,
+) -> io::Result<Option<(usize, Message)>> {
     let (length, mut message) = loop {
         if let Some(whole) = parse_head(buffer, answer)? {
             break whole;
@@ -95,7 +107,7 @@
     }
     message.body = buffer[length..length + body].to_vec();
     buffer.drain(..length + body);
-    Ok(Some(message))
+    Ok(Some((length + body, message)))
 }
 
 /// Writes an answer.
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod plan;
 pub mod reference;
 pub mod restarts;
+pub mod scale;
 pub mod script;
 pub mod sockets;
 pub mod spread;
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -5,8 +5,11 @@
 use haventrack_rig::callers::{self, Campaign};
 use haventrack_rig::cost::{self, Figures, Load};
 use haventrack_rig::fleet::{self, Machine, keep, report};
+use haventrack_rig::scale::fleet::Setting;
+use haventrack_rig::scale::fleet::script::ScaleScript;
+use haventrack_rig::scale::slopes;
 use haventrack_rig::script::Script;
-use haventrack_rig::{demo, matrix, virtual_time};
+use haventrack_rig::{demo, matrix, scale, virtual_time};
 use std::error::Error;
 use std::ffi::OsString;
 use std::fs::{self, File};
@@ -96,6 +99,11 @@
         #[arg(long)]
         hold: Option<usize>,
     },
+    /// Measure how costs grow: processes of the real program, at several sizes.
+    Scale {
+        #[command(subcommand)]
+        scale: Scale,
+    },
     /// Become a program that ends with whoever started it, under a limit on descriptors.
     #[command(hide = true)]
     Keep {
@@ -115,6 +123,103 @@
     },
 }
 
+/// What `scale` measures.
+#[derive(Subcommand)]
+enum Scale {
+    /// Play a script of thousands of hollow proxies with real relays, sources, and some real proxies.
+    Fleet(ScaleOrder),
+    /// Hollow proxies, by themselves.
+    #[command(hide = true)]
+    Hollow {
+        /// Where the rig listens.
+        rig: SocketAddr,
+    },
+    /// Memory, processor time, bytes and waits of one proxy by the size of what it is told and asked, with straight lines
+    /// through them, as JSON lines on standard output.
+    Slopes {
+        #[command(flatten)]
+        order: SlopesOrder,
+    },
+}
+
+/// What `scale fleet` plays.
+#[derive(Args)]
+struct ScaleOrder {
+    /// The script, TOML.
+    script: PathBuf,
+    /// Take this seed in place of the script's.
+    #[arg(long)]
+    seed: Option<u64>,
+    /// The part of the script's proxies, services, backends and changes.
+    #[arg(long, default_value_t = 1.0)]
+    part: f64,
+    /// Only the first so many steps.
+    #[arg(long)]
+    steps: Option<usize>,
+    /// Control's program.
+    #[arg(long, default_value = "target/release/haventrack-control")]
+    control: PathBuf,
+    /// The proxy's program.
+    #[arg(long, default_value = "target/release/haventrack-proxy")]
+    proxy: PathBuf,
+    /// Measure today's whole lists of so many backends as well; several with commas.
+    #[arg(long, value_delimiter = ',')]
+    lists: Vec<usize>,
+    /// Append each figure to this file as a JSON line.
+    #[arg(long)]
+    json: Option<PathBuf>,
+}
+
+fn play_scale(order: ScaleOrder) -> Result<bool, Box<dyn Error>> {
+    let mut out =
+        order.json.as_ref().map(|path| File::options().create(true).append(true).open(path)).transpose()?;
+    let mut script = ScaleScript::read(&order.script)?.part(order.part);
+    script.seed = order.seed.unwrap_or(script.seed);
+    script.step.truncate(order.steps.unwrap_or(usize::MAX));
+    let keeper = std::env::current_exe()?;
+    let machine =
+        Machine { proxy: order.proxy, keeper, memory_mb: 32, descriptors: 256, threads: 1, slack: 0 };
+    let setting = Setting { control: order.control, machine, lists: order.lists };
+    let report = scale::fleet::play(&script, &setting)?;
+    println!("{report}");
+    let file = order.script.display();
+    let steps = order.steps.map_or(String::new(), |steps| format!(" --steps {steps}"));
+    let (part, seed) = (order.part, script.seed);
+    let lists: Vec<String> = setting.lists.iter().map(ToString::to_string).collect();
+    let lists = if lists.is_empty() { String::new() } else { format!(" --lists {}", lists.join(",")) };
+    let command = format!("haventrack-rig scale fleet {file} --part {part} --seed {seed}{steps}{lists}");
+    if let Some(out) = &mut out {
+        for line in report.lines(&command, &script.title) {
+            writeln!(out, "{}", serde_json::to_string(&line)?)?;
+        }
+    }
+    Ok(report.is_clean())
+}
+
+/// What `scale slopes` measures.
+#[derive(Args)]
+struct SlopesOrder {
+    /// The proxy's program.
+    #[arg(long, default_value = "target/release/haventrack-proxy")]
+    proxy: PathBuf,
+    /// Runs of every size, of which the medians count.
+    #[arg(long, default_value_t = 5)]
+    runs: usize,
+    /// For the random numbers of the stand-ins.
+    #[arg(long, default_value_t = 20_261_202)]
+    seed: u64,
+    /// Only this family (backends, tenants, config, classes, idle_clients, open_requests, rate, fleet, clients,
+    /// over_share), or quantities whose name holds this.
+    #[arg(long, default_value = "")]
+    only: String,
+    /// Sizes in place of the usual ones, with commas; for one family.
+    #[arg(long, value_delimiter = ',')]
+    sizes: Vec<usize>,
+    /// How long a steady figure is measured, seconds; 99th percentiles want a second or more.
+    #[arg(long, default_value_t = 1.5)]
+    seconds: f64,
+}
+
 /// What `fleet` plays.
 #[derive(Args)]
 struct FleetOrder {
@@ -198,6 +303,16 @@
     Ok(clean)
 }
 
+fn measure_slopes(order: SlopesOrder) -> Result<bool, Box<dyn Error>> {
+    let SlopesOrder { proxy, runs, seed, only, sizes, seconds } = order;
+    let keeper = std::env::current_exe()?;
+    let order = slopes::Order { proxy, keeper, runs, seed, only, sizes, seconds };
+    for row in slopes::run(&order, |step| eprintln!("{step}"))? {
+        println!("{}", serde_json::to_string(&row)?);
+    }
+    Ok(true)
+}
+
 fn compare(files: &[PathBuf]) -> Result<bool, Box<dyn Error>> {
     let mut rows = Vec::new();
     for path in files {
@@ -294,6 +409,12 @@
             println!("{played}");
             Ok(played.ended() == campaign.requests as u64 && played.effects.1 == 0)
         }
+        Command::Scale { scale: Scale::Fleet(order) } => play_scale(order),
+        Command::Scale { scale: Scale::Hollow { rig } } => {
+            scale::fleet::hollow::serve(rig)?;
+            Ok(true)
+        }
+        Command::Scale { scale: Scale::Slopes { order } } => measure_slopes(order),
         Command::Keep { parent, descriptors, command } => {
             Err(keep::become_program(parent, descriptors, &command).into())
         }
--- /dev/null
+++ b/crates/rig/src/scale/fleet/lists.rs
@@ -0,0 +1,86 @@
+//! Today's way beside it: the whole list to a proxy by the discovery protocol, at sizes that it can carry.
+
+use super::ScaleError;
+use super::population::Population;
+use super::report::ListRow;
+use crate::fleet::{Folder, Machine, Place};
+use crate::http1;
+use crate::script::Script;
+use serde_json::{Value, json};
+use std::cell::Cell;
+use std::net::Ipv4Addr;
+use std::path::Path;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::time::{Instant, sleep};
+
+/// How long a watch is left without an answer.
+const WATCH: Duration = Duration::from_secs(2);
+/// A place in the laboratory's addresses that no real proxy of a run has.
+const PROXY: usize = 200;
+
+fn member(number: usize, phase: &str) -> Value {
+    json!({"id": format!("b{number}"), "host_port": Population::address(number, 9).to_string(),
+        "locality": format!("z{}", number % 24), "flavor": "box", "cell": number % 1_000, "phase": phase,
+        "size": 1.0, "up_since_ms": 0})
+}
+
+/// Starts one proxy before a discovery that holds so many backends, and waits until it is ready.
+///
+/// # Errors
+/// Where it does not become ready.
+pub async fn measure(folder: &Folder, machine: &Machine, backends: usize) -> Result<ListRow, ScaleError> {
+    let members: Vec<Value> = (0..backends).map(|number| member(number, "active")).collect();
+    let list = json!({"revision": 1, "complete": true, "members": members}).to_string();
+    let change = json!({"revision": 2, "complete": false, "members": [member(0, "leaving")]}).to_string();
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
+    let discovery = listener.local_addr()?;
+    let told = Rc::new(Cell::new(0_u64));
+    let counted = Rc::clone(&told);
+    let whole = list.clone();
+    let serving = tokio::task::spawn_local(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let (list, told) = (whole.clone(), Rc::clone(&counted));
+            tokio::task::spawn_local(async move {
+                let mut buffer = Vec::new();
+                while let Ok(Some(request)) = http1::read(&mut stream, &mut buffer, false).await {
+                    let body = if request.target.1.contains("after=") {
+                        sleep(WATCH).await;
+                        r#"{"revision":1,"complete":false,"members":[]}"#
+                    } else {
+                        &list
+                    };
+                    if http1::answer(&mut stream, "200 OK", "", body.as_bytes()).await.is_err() {
+                        return;
+                    }
+                    told.set(told.get() + body.len() as u64);
+                }
+            });
+        }
+    });
+    let text = "seed = 1\nseconds = 60.0\n\
+        fleet = { boxes = 1000, proxies = 2, zones = 24, cells = 1, cores = 1.0, holds = 8.0 }\n\
+        traffic = { per_s = 100.0 }\n[[class]]\nname = \"read\"\neffect = \"safe\"\nshare = 1.0\n\
+        work_ms = [1.0, 2.0]\naim_ms = 500\ndeadline_ms = 1000\nworth = 1.0\n";
+    let script = Script::parse(text, Path::new("whole lists"))?;
+    let mut place = Place::new(folder, PROXY, discovery)?;
+    let nothing = json!({"revision": 0, "complete": true, "members": []});
+    let began = Instant::now();
+    let mut process = place.start(&script, machine, &nothing)?;
+    let ready = process.is_ready().await;
+    let ready_s = began.elapsed().as_secs_f64();
+    serving.abort();
+    if !ready || told.get() < list.len() as u64 {
+        let what = format!("did not take a whole list of {backends} backends");
+        return Err(ScaleError::Ended("the proxy".into(), what, process.last_words()));
+    }
+    Ok(ListRow {
+        backends,
+        bytes: list.len() as u64,
+        ready_s,
+        cpu_s: process.cpu_s(),
+        memory: process.memory(),
+        change_bytes: change.len() as u64,
+    })
+}
--- /dev/null
+++ b/crates/rig/src/scale/fleet/network.rs
@@ -0,0 +1,274 @@
+//! Sources, relays and the links between them, and the truth that the rig keeps of what it wrote.
+
+use super::ScaleError;
+use super::middle::Middle;
+use super::model::{Model, SourceModel};
+use super::population::Population;
+use super::programs::{Party, Starter};
+use super::script::ScaleScript;
+use super::words::{self, Held};
+use haventrack_control::codec::{CodecError, FrameReader, FrameWriter};
+use haventrack_control::message::{Message, PROTOCOL};
+use haventrack_control::record::{Change, Record, Scope, ServiceId, SourceId, State, Version};
+use haventrack_control::shell::writer::Writer;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+use std::{fs, io};
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+/// How long reading a whole source may take.
+const READ_WITHIN: Duration = Duration::from_secs(30);
+/// Services asked for at a time.
+const PART: usize = 500;
+
+struct Source {
+    party: Party,
+    writer: Option<Writer>,
+    snapshot: PathBuf,
+    kept: Option<Vec<u8>>,
+}
+
+/// Sources, relays, links.
+pub struct Network {
+    sources: Vec<Source>,
+    /// By number.
+    pub relays: Vec<Party>,
+    // By relay, then source.
+    links: Vec<Vec<Middle>>,
+    /// What was written.
+    pub model: Model,
+}
+
+impl Network {
+    /// Starts sources, links and relays.
+    ///
+    /// # Errors
+    /// Where one does not come up.
+    pub async fn start(script: &ScaleScript, starter: &Starter<'_>) -> Result<Self, ScaleError> {
+        let size = &script.size;
+        let mut network =
+            Self { sources: Vec::new(), relays: Vec::new(), links: Vec::new(), model: Model::new() };
+        for number in 0..size.sources {
+            let name = format!("source-{number}");
+            let snapshot = starter.folder.path().join(format!("{name}.snapshot"));
+            let config = |listen: SocketAddr| {
+                format!(
+                    "[source]\nid = {number}\nname = \"{name}\"\nlisten = \"{listen}\"\nsnapshot = \"{}\"\n",
+                    snapshot.display()
+                )
+            };
+            let mut party = Party::new(starter, "source", &name, config)?;
+            party.start(starter).await?;
+            network.sources.push(Source { party, writer: None, snapshot, kept: None });
+            network.model.insert(number as SourceId, SourceModel::default());
+        }
+        for number in 0..size.relays {
+            let mut links = Vec::new();
+            for source in &network.sources {
+                links.push(Middle::start(source.party.address()).await?);
+            }
+            let name = format!("relay-{number}");
+            let addresses: Vec<String> = links
+                .iter()
+                .enumerate()
+                .map(|(id, link)| format!("{{ id = {id}, address = \"{}\" }}", link.address))
+                .collect();
+            let config = |listen: SocketAddr| {
+                let sources = addresses.join(", ");
+                format!("[relay]\nname = \"{name}\"\nlisten = \"{listen}\"\nsources = [{sources}]\n")
+            };
+            let mut party = Party::new(starter, "relay", &name, config)?;
+            party.start(starter).await?;
+            network.relays.push(party);
+            network.links.push(links);
+        }
+        Ok(network)
+    }
+
+    /// The relays of a region: name and address.
+    #[must_use]
+    pub fn relays_of(&self, region: usize) -> Vec<(String, SocketAddr)> {
+        let of_region =
+            self.relays.iter().enumerate().filter(|(n, _)| n % self.sources.len() == region).map(|(_, r)| r);
+        of_region.map(|relay| (relay.name.clone(), relay.address())).collect()
+    }
+
+    /// Cuts a region off from all others, or ends that: links between it and them, both ways. Links within it stay.
+    pub fn cut(&self, region: usize, cut: bool) {
+        for (relay, links) in self.links.iter().enumerate() {
+            for (source, link) in links.iter().enumerate() {
+                let of = relay % self.sources.len();
+                if of != source && (of == region || source == region) {
+                    link.cut(cut);
+                }
+            }
+        }
+    }
+
+    /// Writes changes to a source, in parts; the model has them once they are acknowledged.
+    ///
+    /// # Errors
+    /// Where the source does not take them.
+    pub async fn write(
+        &mut self,
+        source: usize,
+        changes: Vec<Change>,
+        step: Option<usize>,
+    ) -> Result<(), ScaleError> {
+        let failed = |e: &dyn std::error::Error| ScaleError::Write(source, e.to_string());
+        let place = &mut self.sources[source];
+        if place.writer.is_none() {
+            place.writer = Some(Writer::connect(place.party.address()).await.map_err(|e| failed(&e))?);
+        }
+        let Some(writer) = &mut place.writer else { return Ok(()) };
+        let at = words::now();
+        let last = writer.write_parts(changes.clone()).await.map_err(|e| failed(&e))?;
+        if let (Some(last), Some(model)) = (last, self.model.get_mut(&(source as SourceId))) {
+            model.wrote(&changes, last, at, step);
+        }
+        Ok(())
+    }
+
+    /// Keeps what a source would have after losing everything from now on.
+    ///
+    /// # Errors
+    /// Where it keeps nothing.
+    pub fn keep(&mut self, source: usize) -> Result<(), ScaleError> {
+        let place = &mut self.sources[source];
+        place.kept = Some(fs::read(&place.snapshot)?);
+        Ok(())
+    }
+
+    /// Kills a source, and puts what was kept in the place of what it has.
+    ///
+    /// # Errors
+    /// Where the file can't be written.
+    pub fn kill_source(&mut self, source: usize) -> Result<(), ScaleError> {
+        let place = &mut self.sources[source];
+        place.party.kill();
+        place.writer = None;
+        if let Some(kept) = place.kept.take() {
+            fs::write(&place.snapshot, kept)?;
+        }
+        Ok(())
+    }
+
+    /// Starts a source again, and reads what it still has: that is the truth from now on, where it is something that was
+    /// said. Gives how many changes are lost.
+    ///
+    /// # Errors
+    /// Where it does not come up or can't be read; inside, where what it has was never said.
+    pub async fn restart_source(
+        &mut self,
+        source: usize,
+        starter: &Starter<'_>,
+    ) -> Result<Result<usize, String>, ScaleError> {
+        self.sources[source].party.start(starter).await?;
+        let (held, head) = self.read(source).await?;
+        let Some(model) = self.model.get_mut(&(source as SourceId)) else { return Ok(Ok(0)) };
+        Ok(model.restarted(&held, head).map_err(|disagreement| disagreement.0))
+    }
+
+    /// All records of a source, as it says them itself to somebody who knows nothing; and how far it is.
+    async fn read(&self, number: usize) -> Result<(Vec<Held>, Version), ScaleError> {
+        let failed = |why: String| ScaleError::Read(number, why);
+        let read = timeout(READ_WITHIN, read_whole(number as SourceId, self.sources[number].party.address()));
+        let (records, head) = read
+            .await
+            .map_err(|_| failed(format!("not whole within {} s", READ_WITHIN.as_secs())))?
+            .map_err(|e| failed(e.to_string()))?;
+        let live = records.iter().filter(|record| record.state != State::Gone);
+        Ok((live.map(|record| Held::of(number as SourceId, record)).collect(), head))
+    }
+
+    /// How far each source is.
+    #[must_use]
+    pub fn heads(&self) -> BTreeMap<SourceId, Version> {
+        self.model.iter().map(|(&source, model)| (source, model.head)).collect()
+    }
+
+    /// How many records somebody with this scope holds.
+    #[must_use]
+    pub fn records(&self, population: &Population, scope: &[u32]) -> u32 {
+        let live = |service: u32| {
+            let source = population.region_of_service(service) as SourceId;
+            self.model.get(&source).map_or(0, |model| model.live(service))
+        };
+        scope.iter().map(|&service| live(service) as u32).sum()
+    }
+
+    /// Processor time so far (seconds), memory and bytes that came, of each relay.
+    #[must_use]
+    pub fn relay_usage(&self) -> Vec<(f64, u64, u64)> {
+        let usage = |(relay, links): (&Party, &Vec<Middle>)| {
+            let carried = links.iter().map(Middle::carried).sum();
+            let (cpu, memory) = relay.program.as_ref().map_or((0.0, 0), |p| (p.cpu_s(), p.memory()));
+            (cpu, memory, carried)
+        };
+        self.relays.iter().zip(&self.links).map(usage).collect()
+    }
+
+    /// Processor time so far (seconds) and memory of each source.
+    #[must_use]
+    pub fn source_usage(&self) -> Vec<(f64, u64)> {
+        let programs = self.sources.iter().map(|source| source.party.program.as_ref());
+        programs.map(|p| p.map_or((0.0, 0), |p| (p.cpu_s(), p.memory()))).collect()
+    }
+
+    /// Whether all run that are meant to.
+    ///
+    /// # Errors
+    /// The first that has ended by itself.
+    pub fn run(&mut self) -> Result<(), ScaleError> {
+        let sources = self.sources.iter_mut().map(|source| &mut source.party);
+        let programs = sources.chain(&mut self.relays).filter_map(|party| party.program.as_mut());
+        for program in programs {
+            program.runs()?;
+        }
+        Ok(())
+    }
+}
+
+/// Asks a source for all of its services, one after another, as they are while nobody writes.
+async fn read_whole(source: SourceId, address: SocketAddr) -> io::Result<(Vec<Record>, Version)> {
+    let other = |e: CodecError| io::Error::other(e.to_string());
+    let (from, to) = TcpStream::connect(address).await?.into_split();
+    let (mut from, mut to) = (FrameReader::new(from), FrameWriter::new(to));
+    let (name, scope) = ("plain reader".into(), Scope::All);
+    to.write(&Message::Hello { protocol: PROTOCOL, name, scope, have: Vec::new() }).await.map_err(other)?;
+    let (mut records, mut head) = (Vec::new(), None);
+    let (mut missing, mut wanted) = (BTreeSet::new(), BTreeSet::new());
+    loop {
+        let message = from.read().await.map_err(other)?.ok_or(io::ErrorKind::UnexpectedEof)?;
+        match message {
+            Message::Summary { covers, to, digests, .. } => {
+                missing.extend(digests.into_iter().map(|(service, _)| service));
+                head = (covers.1 == ServiceId::MAX).then_some(to[0]);
+            }
+            Message::Whole { service, upto, records: some, .. } => {
+                records.extend(some);
+                if upto.is_none() {
+                    wanted.remove(&service);
+                }
+            }
+            Message::Batch { records: some, .. } if !some.is_empty() => {
+                return Err(io::Error::other("it changed while it was read"));
+            }
+            Message::Goodbye { why } => return Err(io::Error::other(why)),
+            _ => {}
+        }
+        if let (Some(head), true) = (head, wanted.is_empty()) {
+            if missing.is_empty() {
+                return Ok((records, head));
+            }
+            // What is wanted takes the place of what was.
+            wanted = missing.iter().copied().take(PART).collect();
+            missing.retain(|service| !wanted.contains(service));
+            let services = wanted.iter().copied().collect();
+            to.write(&Message::Want { source, services }).await.map_err(other)?;
+        }
+    }
+}
--- /dev/null
+++ b/crates/rig/src/scale/fleet/population.rs
@@ -0,0 +1,168 @@
+//! Who there is: services with their zones, backends, and which proxy has which services in scope. Drawn from the seed
+//! alone. Pure.
+
+use super::script::ScaleScript;
+use super::words::key_hash;
+use haventrack_control::record::{Backend, Kind, ServiceId};
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::sync::Arc;
+
+/// Second octet of the first backend's address.
+const BACKENDS: u32 = 64;
+
+/// A backend's place.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Instance {
+    /// Its service.
+    pub service: ServiceId,
+    /// Its zone.
+    pub zone: usize,
+}
+
+/// A proxy's place.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Proxy {
+    /// Its zone.
+    pub zone: usize,
+    /// Its services, ascending.
+    pub scope: Vec<ServiceId>,
+}
+
+/// All of them.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Population {
+    regions: usize,
+    zones: usize,
+    services: usize,
+    /// Backends by number.
+    pub backends: Vec<Instance>,
+    /// Hollow proxies by number, then the real ones.
+    pub proxies: Vec<Proxy>,
+    /// How many of them are hollow.
+    pub hollow: usize,
+}
+
+impl Population {
+    /// Draws it.
+    #[must_use]
+    pub fn draw(script: &ScaleScript) -> Self {
+        let size = &script.size;
+        let mut rng = fastrand::Rng::with_seed(script.seed);
+        let mut population = Self {
+            regions: size.sources,
+            zones: size.zones,
+            services: size.services,
+            backends: Vec::with_capacity(size.backends),
+            proxies: Vec::new(),
+            hollow: size.subscribers,
+        };
+        // One each; the rest by weights that differ as much as services do: a few are large.
+        let weights: Vec<f64> = (0..size.services).map(|_| -rng.f64().max(1e-9).ln()).collect();
+        let total: f64 = weights.iter().sum();
+        let rest = (size.backends - size.services) as f64;
+        let mut before = 0.0;
+        for (service, weight) in weights.iter().enumerate() {
+            let upto = before + weight;
+            let share = |sum: f64| (sum / total * rest).round() as usize;
+            for _ in 0..=share(upto) - share(before) {
+                let zones = population.zones_of(population.region_of_service(service as ServiceId));
+                let zone = zones[rng.usize(..zones.len())];
+                population.backends.push(Instance { service: service as ServiceId, zone });
+            }
+            before = upto;
+        }
+        population.backends.truncate(size.backends);
+        let local = (size.services_per_proxy as f64 * size.local).round() as usize;
+        for number in 0..size.subscribers + size.real {
+            let zone = number % size.zones;
+            let scope = population.scope(script.seed, number, zone, local, size.services_per_proxy);
+            population.proxies.push(Proxy { zone, scope });
+        }
+        population
+    }
+
+    /// By rendezvous hashing: each proxy has an order of its own of all services, and takes the first of its region and
+    /// the first of the others.
+    fn scope(&self, seed: u64, number: usize, zone: usize, local: usize, all: usize) -> Vec<ServiceId> {
+        let region = zone % self.regions;
+        let name = format!("{seed}/{number}");
+        let rank = |service: ServiceId| key_hash(service, Kind::Route, &name);
+        let (mut near, mut far): (Vec<ServiceId>, Vec<ServiceId>) =
+            (0..self.services as ServiceId).partition(|&service| self.region_of_service(service) == region);
+        let first = |services: &mut Vec<ServiceId>, count: usize| {
+            let count = count.min(services.len());
+            if count < services.len() && count > 0 {
+                services.select_nth_unstable_by_key(count - 1, |&service| rank(service));
+            }
+            services.truncate(count);
+        };
+        first(&mut near, local);
+        first(&mut far, all - near.len());
+        near.extend(far);
+        near.sort_unstable();
+        near
+    }
+
+    /// The region that a service belongs to: its source.
+    #[must_use]
+    pub fn region_of_service(&self, service: ServiceId) -> usize {
+        service as usize % self.zones % self.regions
+    }
+
+    /// The region of a zone.
+    #[must_use]
+    pub fn region_of_zone(&self, zone: usize) -> usize {
+        zone % self.regions
+    }
+
+    /// The zones of a region.
+    #[must_use]
+    pub fn zones_of(&self, region: usize) -> Vec<usize> {
+        (0..self.zones).filter(|zone| zone % self.regions == region).collect()
+    }
+
+    /// How many services there are.
+    #[must_use]
+    pub fn services(&self) -> usize {
+        self.services
+    }
+
+    /// How many zones there are.
+    #[must_use]
+    pub fn zones(&self) -> usize {
+        self.zones
+    }
+
+    /// A backend's name.
+    #[must_use]
+    pub fn name(number: usize) -> Arc<str> {
+        format!("b{number}").into()
+    }
+
+    /// Where a backend listens: a loopback address of its own, and the port that all have.
+    #[must_use]
+    pub fn address(number: usize, port: u16) -> SocketAddrV4 {
+        SocketAddrV4::new(Ipv4Addr::from(127 << 24 | ((BACKENDS << 16) + number as u32)), port)
+    }
+
+    /// The backend with this address.
+    #[must_use]
+    pub fn number(address: Ipv4Addr) -> Option<usize> {
+        let place = u32::from(address).checked_sub(127 << 24 | BACKENDS << 16)?;
+        (place < (128 - BACKENDS) << 16).then_some(place as usize)
+    }
+
+    /// What is said of a backend.
+    #[must_use]
+    pub fn body(&self, number: usize, port: u16, up_since_ms: u64) -> Arc<[u8]> {
+        let backend = Backend {
+            address: Self::address(number, port),
+            locality: format!("z{}", self.backends[number].zone),
+            flavor: "box".into(),
+            cell: (number % 1_000) as u16,
+            size: 1.0,
+            up_since_ms,
+        };
+        postcard::to_stdvec(&backend).unwrap_or_default().into()
+    }
+}
--- a/crates/rig/tests/cold_sums.rs
+++ b/crates/rig/tests/cold_sums.rs
@@ -2,15 +2,18 @@
 //! within `fallUs`. Over processes and, on a wider grid, in virtual time; and the measure itself by records made by hand,
 //! also such as break the bound.
 
-mod common;
+#[path = "shared/machine.rs"]
+mod machine;
+#[path = "shared/program.rs"]
+mod program;
 
-use common::machine;
 use haventrack_rig::cold_sums::{ColdUse, allowed, bound, measure};
 use haventrack_rig::fleet::play;
 use haventrack_rig::fleet::report::{Row, in_virtual_time, line};
 use haventrack_rig::judge::{Got, Seen};
 use haventrack_rig::plan::Plan;
 use haventrack_rig::script::{Known, ProcessFault, ProcessWhat, Script, Trouble, What};
+use machine::machine;
 use proptest::prelude::*;
 use std::path::Path;
 
--- a/crates/rig/tests/laboratory.rs
+++ b/crates/rig/tests/laboratory.rs
@@ -1,19 +1,23 @@
 //! Days over processes of the program, with faults of processes and links. Verdicts come from what the stand-ins saw:
 //! rules, and counts with room for a slow machine.
 
-mod common;
+#[path = "shared/machine.rs"]
+mod machine;
+#[path = "shared/program.rs"]
+mod program;
+mod shared;
 
-use common::{KEEPER, machine, program};
 use haventrack_rig::fleet::report::Row;
 use haventrack_rig::fleet::{FleetError, Machine, play};
 use haventrack_rig::script::{
     Between, Known, LinkFault, ProcessFault, ProcessWhat, Script, ScriptError, Trouble, Way, What,
 };
+use machine::machine;
+use program::{KEEPER, program};
+use shared::{Ended, children, runs, wait_until};
 use std::fs;
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
-use std::thread::sleep;
-use std::time::{Duration, Instant};
+use std::process::{Command, Stdio};
 
 fn script_path() -> PathBuf {
     Path::new(env!("CARGO_MANIFEST_DIR")).join("scripts/laboratory.toml")
@@ -127,38 +131,6 @@
     }
 }
 
-/// The children of a process.
-fn children(of: u32) -> Vec<u32> {
-    let mut all = Vec::new();
-    for task in fs::read_dir(format!("/proc/{of}/task")).into_iter().flatten().flatten() {
-        let text = fs::read_to_string(task.path().join("children")).unwrap_or_default();
-        all.extend(text.split_whitespace().filter_map(|id| id.parse::<u32>().ok()));
-    }
-    all
-}
-
-/// Whether a process with this id runs the proxy.
-fn runs(id: u32) -> bool {
-    let name = fs::read_to_string(format!("/proc/{id}/comm")).unwrap_or_default();
-    name.starts_with("haventrack-prox")
-}
-
-fn wait_until(what: &str, mut holds: impl FnMut() -> bool) {
-    let end = Instant::now() + Duration::from_secs(30);
-    while !holds() {
-        assert!(Instant::now() < end, "{what}");
-        sleep(Duration::from_millis(20));
-    }
-}
-
-struct Ended(Child);
-
-impl Drop for Ended {
-    fn drop(&mut self) {
-        let _ = (self.0.kill(), self.0.wait());
-    }
-}
-
 #[test]
 fn no_process_outlives_a_laboratory_that_is_killed() {
     let mut command = Command::new(KEEPER);
--- a/crates/rig/tests/restarts.rs
+++ b/crates/rig/tests/restarts.rs
@@ -1,9 +1,11 @@
 //! Seven in ten processes killed at once before one discovery service that all ask, each process on a tenth of a core:
 //! nine in ten say within ten seconds of their start that they serve. Judged by what `/up` answers from outside.
 
-mod common;
+#[path = "shared/machine.rs"]
+mod machine;
+#[path = "shared/program.rs"]
+mod program;
 
-use common::machine;
 use haventrack_rig::call_queue::{CallQueue, Fate};
 use haventrack_rig::fleet::play;
 use haventrack_rig::fleet::report::line;
@@ -11,6 +13,7 @@
 use haventrack_rig::plan::{Act, Plan};
 use haventrack_rig::restarts::{READY_WITHIN, Restarts, measure};
 use haventrack_rig::script::{Known, Script, ScriptError};
+use machine::machine;
 use std::path::Path;
 
 fn script() -> Script {
--- /dev/null
+++ b/crates/rig/tests/shared/mod.rs
@@ -0,0 +1,40 @@
+//! What tests of several files need.
+
+use std::fs;
+use std::process::Child;
+use std::thread::sleep;
+use std::time::{Duration, Instant};
+
+/// The children of a process.
+pub fn children(of: u32) -> Vec<u32> {
+    let mut all = Vec::new();
+    for task in fs::read_dir(format!("/proc/{of}/task")).into_iter().flatten().flatten() {
+        let text = fs::read_to_string(task.path().join("children")).unwrap_or_default();
+        all.extend(text.split_whitespace().filter_map(|id| id.parse::<u32>().ok()));
+    }
+    all
+}
+
+/// Whether a process with this id runs the proxy.
+pub fn runs(id: u32) -> bool {
+    let name = fs::read_to_string(format!("/proc/{id}/comm")).unwrap_or_default();
+    name.starts_with("haventrack-prox")
+}
+
+/// Waits until this holds, for longer than a busy machine takes.
+pub fn wait_until(what: &str, mut holds: impl FnMut() -> bool) {
+    let end = Instant::now() + Duration::from_secs(30);
+    while !holds() {
+        assert!(Instant::now() < end, "{what}");
+        sleep(Duration::from_millis(20));
+    }
+}
+
+/// A process that ends with the test.
+pub struct Ended(pub Child);
+
+impl Drop for Ended {
+    fn drop(&mut self) {
+        let _ = (self.0.kill(), self.0.wait());
+    }
+}
--- a/crates/rig/tests/common/mod.rs
+++ b/crates/rig/tests/shared/program.rs
@@ -1,13 +1,11 @@
-//! What tests over processes share.
+//! The programs that tests start.
 
-use haventrack_rig::fleet::Machine;
 use std::path::{Path, PathBuf};
 use std::process::Command;
 use std::sync::OnceLock;
 
+/// The rig's own program, which starts others so that they end with a test.
 pub const KEEPER: &str = env!("CARGO_BIN_EXE_haventrack-rig");
-/// Microseconds: a machine of two cores that builds something else besides.
-const SLACK: u64 = 1_000_000;
 
 /// The program, built as this test is, so that a test never plays an older one.
 pub fn program() -> PathBuf {
@@ -33,14 +31,3 @@
     };
     BUILT.get_or_init(build).clone()
 }
-
-pub fn machine() -> Machine {
-    Machine {
-        proxy: program(),
-        keeper: KEEPER.into(),
-        memory_mb: 32,
-        descriptors: 256,
-        threads: 2,
-        slack: SLACK,
-    }
-}
