--- a/crates/control/src/relay.rs
+++ b/crates/control/src/relay.rs
@@ -6,7 +6,7 @@
 use crate::message::{Message, PROTOCOL};
 use crate::record::{Scope, SourceId};
 use crate::replica::Replica;
-use crate::source::{Refusal, serve, spoken};
+use crate::source::{Refusal, Upstream, serve, spoken};
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
@@ -90,32 +90,6 @@
         questions.filter_map(|(source, question)| Some((source, question?))).collect()
     }
 
-    /// A message came on a connection from downstream. Gives the answers.
-    ///
-    /// # Errors
-    /// Where the connection has to end.
-    pub fn on_message(
-        &mut self,
-        from: SubscriberId,
-        message: Message,
-        now: Millis,
-    ) -> Result<Vec<Message>, Refusal> {
-        serve(&mut self.feed, &self.name, from, message, now)
-    }
-
-    /// What comes next for a subscriber.
-    pub fn next(&mut self, to: SubscriberId, now: Millis) -> Next {
-        let told = self.replicas.values().filter(|replica| replica.is_whole());
-        let views: Vec<View<'_>> =
-            told.map(|replica| View { ledger: replica.ledger(), sound: replica.is_sound() }).collect();
-        self.feed.next(to, &views, now)
-    }
-
-    /// The connection ended.
-    pub fn leave(&mut self, who: SubscriberId) {
-        self.feed.leave(who);
-    }
-
     /// What it holds of a source.
     #[must_use]
     pub fn ledger(&self, source: SourceId) -> Option<&Ledger> {
@@ -134,3 +108,25 @@
         self.feed.held(who)
     }
 }
+
+impl Upstream for Relay {
+    fn on_message(
+        &mut self,
+        from: SubscriberId,
+        message: Message,
+        now: Millis,
+    ) -> Result<Vec<Message>, Refusal> {
+        serve(&mut self.feed, &self.name, from, message, now)
+    }
+
+    fn next(&mut self, to: SubscriberId, now: Millis) -> Next {
+        let told = self.replicas.values().filter(|replica| replica.is_whole());
+        let views: Vec<View<'_>> =
+            told.map(|replica| View { ledger: replica.ledger(), sound: replica.is_sound() }).collect();
+        self.feed.next(to, &views, now)
+    }
+
+    fn leave(&mut self, who: SubscriberId) {
+        self.feed.leave(who);
+    }
+}
--- a/crates/control/src/shell/discovery.rs
+++ b/crates/control/src/shell/discovery.rs
@@ -1,5 +1,6 @@
 //! Discovery as the proxy on this machine speaks it: the whole list, and watches for changes.
 
+use super::accept;
 use super::list::List;
 use http_body_util::Full;
 use hyper::body::{Bytes, Incoming};
@@ -15,15 +16,13 @@
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::task::spawn_local;
-use tokio::time::{Instant, sleep, timeout_at};
+use tokio::time::{Instant, timeout_at};
 use tracing::{debug, warn};
 
 /// The longest wait of a watch, milliseconds, as the protocol has it.
 const MOST_WAIT_MS: u64 = 60_000;
 /// How long a request's head may take, and how long a connection may idle between two.
 const HEAD_WITHIN: Duration = Duration::from_secs(30);
-/// How long taking connections pauses where none can be had.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 /// The only path.
 const PATH: &str = "/discovery/hosts";
 
@@ -110,14 +109,7 @@
 pub async fn serve(listener: TcpListener, served: Served, most: usize) -> Infallible {
     let open = Rc::new(Cell::new(0));
     loop {
-        let (stream, address) = match listener.accept().await {
-            Ok(accepted) => accepted,
-            Err(error) => {
-                debug!("no connection taken: {error}");
-                sleep(ACCEPT_PAUSE).await;
-                continue;
-            }
-        };
+        let (stream, address) = accept(&listener).await;
         if open.get() >= most {
             warn!(%address, "refused: {most} connections are open, no more are taken (`agent.connections`)");
             continue;
--- a/crates/control/src/shell/mod.rs
+++ b/crates/control/src/shell/mod.rs
@@ -12,8 +12,25 @@
 pub mod writer;
 
 use crate::Millis;
+use std::net::SocketAddr;
 use std::time::Duration;
-use tokio::time::Instant;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::{Instant, sleep};
+use tracing::debug;
+
+/// How long taking connections pauses where the system has no descriptor left.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
+
+/// The next connection. Where the system gives none it is asked again a moment later.
+async fn accept(listener: &TcpListener) -> (TcpStream, SocketAddr) {
+    loop {
+        match listener.accept().await {
+            Ok(accepted) => return accepted,
+            Err(error) => debug!("no connection taken: {error}"),
+        }
+        sleep(ACCEPT_PAUSE).await;
+    }
+}
 
 /// Why a process could not start or go on.
 #[derive(Debug, thiserror::Error)]
--- a/crates/control/src/shell/server.rs
+++ b/crates/control/src/shell/server.rs
@@ -1,13 +1,11 @@
 //! The upstream end of connections: takes them, answers what they say, and tells each what comes next for it. One message
 //! at a time is on its way to a connection; what comes after it is looked up when that one has been taken.
 
-use super::{Clock, said};
-use crate::Millis;
+use super::{Clock, accept, said};
 use crate::codec::{CodecError, FrameReader, FrameWriter};
 use crate::feed::{Next, SubscriberId};
 use crate::message::Message;
-use crate::relay::Relay;
-use crate::source::{Refusal, Source};
+use crate::source::{Refusal, Upstream};
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -35,65 +33,11 @@
 /// What the system holds for one connection on the way out, bytes: what is in there is old to a slow subscriber, and it is
 /// memory that nobody else has.
 const SEND_BUFFER: usize = 128 << 10;
-/// How long taking connections pauses where the system has no descriptor left.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 /// Connections beyond the bound that are told so at a time; others just end.
 const MOST_REFUSED: usize = 16;
 /// Descriptors that are no connections from downstream: files, links to sources, the runtime.
 const OTHER_DESCRIPTORS: usize = 64;
 
-/// What is served: a [`Source`] or a [`Relay`].
-pub trait Upstream {
-    /// A message came. Gives the answers.
-    ///
-    /// # Errors
-    /// Where the connection has to end.
-    fn on_message(
-        &mut self,
-        from: SubscriberId,
-        message: Message,
-        now: Millis,
-    ) -> Result<Vec<Message>, Refusal>;
-    /// What comes next.
-    fn next(&mut self, to: SubscriberId, now: Millis) -> Next;
-    /// The connection ended.
-    fn leave(&mut self, who: SubscriberId);
-}
-
-impl Upstream for Source {
-    fn on_message(
-        &mut self,
-        from: SubscriberId,
-        message: Message,
-        now: Millis,
-    ) -> Result<Vec<Message>, Refusal> {
-        Source::on_message(self, from, message, now)
-    }
-    fn next(&mut self, to: SubscriberId, now: Millis) -> Next {
-        Source::next(self, to, now)
-    }
-    fn leave(&mut self, who: SubscriberId) {
-        Source::leave(self, who);
-    }
-}
-
-impl Upstream for Relay {
-    fn on_message(
-        &mut self,
-        from: SubscriberId,
-        message: Message,
-        now: Millis,
-    ) -> Result<Vec<Message>, Refusal> {
-        Relay::on_message(self, from, message, now)
-    }
-    fn next(&mut self, to: SubscriberId, now: Millis) -> Next {
-        Relay::next(self, to, now)
-    }
-    fn leave(&mut self, who: SubscriberId) {
-        Relay::leave(self, who);
-    }
-}
-
 /// Tells all connections that something changed, a moment later, once for all that changed until then.
 #[derive(Clone, Debug)]
 pub struct Changes {
@@ -210,14 +154,7 @@
         spawn_local(self.changes.clone().pass_on());
         let mut next: SubscriberId = 1;
         loop {
-            let (stream, address) = match listener.accept().await {
-                Ok(accepted) => accepted,
-                Err(error) => {
-                    debug!("no connection taken: {error}");
-                    sleep(ACCEPT_PAUSE).await;
-                    continue;
-                }
-            };
+            let (stream, address) = accept(&listener).await;
             let who = next;
             next += 1;
             if self.open.get() >= self.most {
--- a/crates/control/src/source.rs
+++ b/crates/control/src/source.rs
@@ -40,6 +40,26 @@
     Full(usize),
 }
 
+/// Whoever is subscribed to: a source or a relay.
+pub trait Upstream {
+    /// A message came on a connection from downstream or, at a source, from a writer. Gives the answers.
+    ///
+    /// # Errors
+    /// Where the connection has to end.
+    fn on_message(
+        &mut self,
+        from: SubscriberId,
+        message: Message,
+        now: Millis,
+    ) -> Result<Vec<Message>, Refusal>;
+
+    /// What comes next for a subscriber. One that did not say hello gets nothing.
+    fn next(&mut self, to: SubscriberId, now: Millis) -> Next;
+
+    /// The connection ended.
+    fn leave(&mut self, who: SubscriberId);
+}
+
 /// A source.
 #[derive(Debug)]
 pub struct Source {
@@ -80,22 +100,6 @@
         self.feed.held(who)
     }
 
-    /// A message came on a connection from downstream or from a writer. Gives the answers.
-    ///
-    /// # Errors
-    /// Where the connection has to end.
-    pub fn on_message(
-        &mut self,
-        from: SubscriberId,
-        message: Message,
-        now: Millis,
-    ) -> Result<Vec<Message>, Refusal> {
-        match message {
-            Message::Write { id, changes } => Ok(vec![Message::Written { id, result: self.write(changes) }]),
-            other => serve(&mut self.feed, &self.name, from, other, now),
-        }
-    }
-
     /// Makes all changes or none.
     fn write(&mut self, changes: Vec<Change>) -> Result<Version, String> {
         for change in &changes {
@@ -106,14 +110,26 @@
         }
         Ok(self.ledger.head())
     }
+}
 
-    /// What comes next for a subscriber. One that did not say hello gets nothing.
-    pub fn next(&mut self, to: SubscriberId, now: Millis) -> Next {
+impl Upstream for Source {
+    fn on_message(
+        &mut self,
+        from: SubscriberId,
+        message: Message,
+        now: Millis,
+    ) -> Result<Vec<Message>, Refusal> {
+        match message {
+            Message::Write { id, changes } => Ok(vec![Message::Written { id, result: self.write(changes) }]),
+            other => serve(&mut self.feed, &self.name, from, other, now),
+        }
+    }
+
+    fn next(&mut self, to: SubscriberId, now: Millis) -> Next {
         self.feed.next(to, &[View { ledger: &self.ledger, sound: true }], now)
     }
 
-    /// The connection ended.
-    pub fn leave(&mut self, who: SubscriberId) {
+    fn leave(&mut self, who: SubscriberId) {
         self.feed.leave(who);
     }
 }
--- a/crates/control/tests/codec.rs
+++ b/crates/control/tests/codec.rs
@@ -1,15 +1,18 @@
 //! What travels between parties: every message comes back as it went, and nothing else is taken for one.
 
+mod strategies;
+
 use haventrack_control::codec::{
     BodyError, CodecError, FrameReader, FrameWriter, backend_body, decode, encode, read_backend,
 };
-use haventrack_control::message::{Have, MOST_BYTES, Message, PROTOCOL};
-use haventrack_control::record::{Backend, Change, Key, Kind, Record, Scope, State, Version};
-use proptest::collection::{btree_set, vec};
+use haventrack_control::message::{MOST_BYTES, Message, PROTOCOL};
+use haventrack_control::record::{Backend, Scope};
+use proptest::collection::vec;
 use proptest::prelude::*;
 use std::io;
 use std::pin::Pin;
 use std::task::{Context, Poll};
+use strategies::message;
 use tokio::io::{AsyncRead, ReadBuf};
 
 /// Gives bytes in pieces of these sizes, then ends.
@@ -54,90 +57,6 @@
     })
 }
 
-fn version() -> impl Strategy<Value = Version> {
-    (any::<u64>(), any::<u64>()).prop_map(|(epoch, revision)| Version { epoch, revision })
-}
-
-fn cursor() -> impl Strategy<Value = [Version; 3]> {
-    [version(), version(), version()]
-}
-
-fn kind() -> impl Strategy<Value = Kind> {
-    prop_oneof![Just(Kind::Backend), Just(Kind::Configuration), Just(Kind::Route), Just(Kind::Tenant)]
-}
-
-fn state() -> impl Strategy<Value = State> {
-    prop_oneof![Just(State::Active), Just(State::Draining), Just(State::Gone)]
-}
-
-fn key() -> impl Strategy<Value = Key> {
-    (any::<u32>(), kind(), ".{0,12}").prop_map(|(service, kind, name)| Key {
-        service,
-        kind,
-        name: name.into(),
-    })
-}
-
-fn records() -> impl Strategy<Value = Vec<Record>> {
-    let record = (key(), version(), state(), vec(any::<u8>(), 0..40));
-    let record =
-        record.prop_map(|(key, version, state, body)| Record { key, version, state, body: body.into() });
-    vec(record, 0..8)
-}
-
-fn have() -> impl Strategy<Value = Vec<Have>> {
-    let have = (any::<u16>(), any::<u64>(), cursor());
-    vec(have.prop_map(|(source, epoch, cursor)| Have { source, epoch, cursor }), 0..4)
-}
-
-fn message() -> impl Strategy<Value = Message> {
-    let scope = prop_oneof![Just(Scope::All), btree_set(any::<u32>(), 0..20).prop_map(Scope::Services),];
-    let bound = || proptest::option::of((kind(), ".{0,12}").prop_map(|(kind, name)| (kind, name.into())));
-    let change = (key(), state(), vec(any::<u8>(), 0..40));
-    let change = change.prop_map(|(key, state, body)| Change { key, state, body: body.into() });
-    prop_oneof![
-        (".{0,12}", scope, have()).prop_map(|(name, scope, have)| Message::Hello {
-            protocol: PROTOCOL,
-            name,
-            scope,
-            have
-        }),
-        ".{0,12}".prop_map(|name| Message::Welcome { protocol: PROTOCOL, name }),
-        Just(Message::Alive),
-        (any::<u16>(), any::<u64>(), cursor(), cursor(), records(), any::<Option<u64>>()).prop_map(
-            |(source, epoch, from, to, records, check)| Message::Batch {
-                source,
-                epoch,
-                from,
-                to,
-                records,
-                check
-            }
-        ),
-        (any::<u16>(), any::<u64>(), any::<(u32, u32)>(), cursor(), any::<Vec<(u32, u64)>>()).prop_map(
-            |(source, epoch, covers, to, digests)| Message::Summary { source, epoch, covers, to, digests }
-        ),
-        (any::<u16>(), any::<u64>(), version(), any::<u32>(), bound(), bound(), records()).prop_map(
-            |(source, epoch, as_of, service, after, upto, records)| Message::Whole {
-                source,
-                epoch,
-                as_of,
-                service,
-                after,
-                upto,
-                records
-            }
-        ),
-        have().prop_map(|have| Message::Resume { have }),
-        any::<u16>().prop_map(|source| Message::Compare { source }),
-        (any::<u16>(), any::<Vec<u32>>()).prop_map(|(source, services)| Message::Want { source, services }),
-        (any::<u64>(), vec(change, 0..8)).prop_map(|(id, changes)| Message::Write { id, changes }),
-        (any::<u64>(), version(), proptest::option::of(".{0,20}"))
-            .prop_map(|(id, version, why)| { Message::Written { id, result: why.map_or(Ok(version), Err) } }),
-        ".{0,40}".prop_map(|why| Message::Goodbye { why }),
-    ]
-}
-
 proptest! {
     #[test]
     fn messages_come_back_as_they_went_however_they_are_cut(
--- a/crates/control/tests/feed.rs
+++ b/crates/control/tests/feed.rs
@@ -6,7 +6,7 @@
 use haventrack_control::message::{Have, MOST_BYTES, Message, PROTOCOL};
 use haventrack_control::record::{Change, Key, Kind, Record, Scope, ServiceId, State, Version};
 use haventrack_control::relay::Relay;
-use haventrack_control::source::{Refusal, Source};
+use haventrack_control::source::{Refusal, Source, Upstream};
 use haventrack_control::subscriber::Subscriber;
 use proptest::prelude::*;
 use std::sync::Arc;
--- a/crates/control/tests/replica.rs
+++ b/crates/control/tests/replica.rs
@@ -8,6 +8,7 @@
     Cursor, Epoch, Key, Kind, Record, Scope, ServiceId, State, Urgency, Version,
 };
 use haventrack_control::relay::Relay;
+use haventrack_control::source::Upstream;
 use haventrack_control::subscriber::{Heard, Subscriber};
 
 const LINE: u64 = 1;
--- a/crates/control/tests/world/parties.rs
+++ b/crates/control/tests/world/parties.rs
@@ -10,7 +10,7 @@
     Change, Cursor, Epoch, Key, Kind, Record, Scope, ServiceId, SourceId, State, Version,
 };
 use haventrack_control::relay::Relay;
-use haventrack_control::source::Source;
+use haventrack_control::source::{Source, Upstream};
 use haventrack_control::subscriber::Subscriber;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
--- a/crates/program/tests/day/main.rs
+++ b/crates/program/tests/day/main.rs
@@ -3,24 +3,16 @@
 #[path = "../proxy/rig.rs"]
 mod rig;
 
-use rig::{Backend, Client, Discovery, PATIENCE, Proxy, config, entry, ok, request};
+use rig::{Backend, Client, Discovery, Proxy, call, config, entry, folder, ok, request};
 use serde_json::{Value, json};
-use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpStream};
-use std::path::{Path, PathBuf};
+use std::io::Write;
+use std::net::SocketAddr;
+use std::path::Path;
 use std::process::Command;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::{fs, thread};
 
-/// An empty folder of a test's own.
-fn folder(name: &str) -> PathBuf {
-    let path = std::env::temp_dir().join(format!("haventrack-day-{}-{name}", std::process::id()));
-    let _ = fs::remove_dir_all(&path);
-    fs::create_dir_all(&path).expect("a folder");
-    path
-}
-
 /// A configuration with a console; `listen` is the address of the process that is replaced.
 fn with_console(discovery: &Discovery, listen: Option<SocketAddr>) -> Value {
     let mut config = config("n7", discovery);
@@ -31,16 +23,6 @@
     config
 }
 
-fn call(console: SocketAddr, line: &str) -> String {
-    let mut stream = TcpStream::connect(console).expect("the console accepts");
-    stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
-    stream.write_all(line.as_bytes()).expect("the console reads");
-    let mut answer = String::new();
-    stream.read_to_string(&mut answer).expect("one answer");
-    assert!(answer.ends_with('\n') && answer.lines().count() == 1, "{answer:?}");
-    answer
-}
-
 /// Calls until the answer begins so: the process may not have heard of its list yet.
 fn wait_until(console: SocketAddr, line: &str, begins: &str) {
     while !call(console, line).starts_with(begins) {
--- a/crates/program/tests/proxy/crowd.rs
+++ b/crates/program/tests/proxy/crowd.rs
@@ -3,9 +3,8 @@
 
 use crate::rig::*;
 use serde_json::{Value, json};
-use std::io::{BufReader, Read, Write};
+use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::{Receiver, channel};
@@ -65,22 +64,6 @@
     }
 }
 
-fn folder(name: &str) -> PathBuf {
-    let path = std::env::temp_dir().join(format!("haventrack-crowd-{}-{name}", std::process::id()));
-    let _ = fs::remove_dir_all(&path);
-    fs::create_dir_all(&path).expect("a folder");
-    path
-}
-
-fn call(console: SocketAddr, line: &str) -> String {
-    let mut stream = TcpStream::connect(console).expect("the console accepts");
-    stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
-    stream.write_all(line.as_bytes()).expect("the console reads");
-    let mut answer = String::new();
-    stream.read_to_string(&mut answer).expect("one answer");
-    answer
-}
-
 /// Within its second, as its users are told.
 fn is_ready(console: SocketAddr) -> bool {
     let began = Instant::now();
--- a/crates/program/tests/proxy/rig.rs
+++ b/crates/program/tests/proxy/rig.rs
@@ -293,6 +293,25 @@
     log: BufReader<ChildStderr>,
 }
 
+/// An empty folder of a test's own.
+pub fn folder(name: &str) -> PathBuf {
+    let path = std::env::temp_dir().join(format!("haventrack-folder-{}-{name}", std::process::id()));
+    let _ = fs::remove_dir_all(&path);
+    fs::create_dir_all(&path).expect("a folder");
+    path
+}
+
+/// Calls a console; the one line that it answers.
+pub fn call(console: SocketAddr, line: &str) -> String {
+    let mut stream = TcpStream::connect(console).expect("the console accepts");
+    stream.set_read_timeout(Some(PATIENCE)).expect("a time-out");
+    stream.write_all(line.as_bytes()).expect("the console reads");
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).expect("one answer");
+    assert!(answer.ends_with('\n') && answer.lines().count() == 1, "{answer:?}");
+    answer
+}
+
 fn config_path(name: &str) -> PathBuf {
     env::temp_dir().join(format!("haventrack-{}-{name}.json", std::process::id()))
 }
--- a/crates/proxy/src/discovery.rs
+++ b/crates/proxy/src/discovery.rs
@@ -50,14 +50,6 @@
 const MOST_OVERSIZED: Duration = Duration::from_secs(30);
 const OVERSIZED_CHANCE: f64 = 0.25;
 
-/// What a call asks for, and so how long it may take.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Target {
-    Whole,
-    /// What is newer than this version, with a wait.
-    Changes(u64, Duration),
-}
-
 /// Why a call to discovery brought nothing.
 #[derive(Debug, Error)]
 pub enum DiscoveryError {
@@ -149,8 +141,6 @@
     failures: u32,
     /// Lists in a row that were too long.
     oversized: u32,
-    /// How long nothing is asked after the last one.
-    pause: Option<Duration>,
     /// Told once discovery has answered or failed to.
     heard: Rc<Notify>,
 }
@@ -186,7 +176,6 @@
             known: None,
             failures: 0,
             oversized: 0,
-            pause: None,
             heard: Rc::default(),
         }
     }
@@ -269,15 +258,16 @@
                 }
                 Err(error) => {
                     let took = self.handle.clock().now().saturating_sub(began);
-                    self.note_failure(&error, took);
-                    self.after_failure().await;
+                    let pause = self.note_failure(&error, took);
+                    self.after_failure(pause).await;
                 }
             }
         }
     }
 
-    /// An outage is logged once, and so is a list that is too long, whatever else fails meanwhile.
-    fn note_failure(&mut self, error: &DiscoveryError, took: Micros) {
+    /// An outage is logged once, and so is a list that is too long, whatever else fails meanwhile. Gives how long nothing is
+    /// asked after such a list.
+    fn note_failure(&mut self, error: &DiscoveryError, took: Micros) -> Option<Duration> {
         let oversized = matches!(error, DiscoveryError::Oversized(_));
         if if oversized { self.oversized == 0 } else { self.failures == 0 } {
             log(format_args!("discovery: {error}"));
@@ -288,7 +278,7 @@
             turns.failed(error.failure(self.watches, took));
         }
         (self.conn, self.begins, self.watches) = (None, true, false);
-        self.pause = oversized.then(|| oversized_pause(self.oversized, fastrand::f64()));
+        oversized.then(|| oversized_pause(self.oversized, fastrand::f64()))
     }
 
     async fn wait_for_call(&mut self) {
@@ -327,29 +317,25 @@
 
     /// The module decides when a service is asked again; an agent is asked again after a moment, for the whole list: it may
     /// be another one that counts its versions anew.
-    async fn after_failure(&mut self) {
+    async fn after_failure(&mut self, pause: Option<Duration>) {
         self.tell_known();
         // Without discovery an old list is better than none.
         if self.fallback {
             self.held.set(true);
         }
         self.heard.notify_one();
-        let pause = self.pause.take();
-        if let Some(pause) = pause {
-            sleep(pause).await;
-        }
         if self.asked.is_some() {
+            if let Some(pause) = pause {
+                sleep(pause).await;
+            }
             return tell_list(&self.handle, Scope::Failed, &Vec::new());
         }
         self.revision = None;
-        if pause.is_some() {
-            return;
-        }
-        sleep((FIRST_BACKOFF * self.failures).min(MOST_BACKOFF)).await;
+        sleep(pause.unwrap_or((FIRST_BACKOFF * self.failures).min(MOST_BACKOFF))).await;
     }
 
     /// What the next call asks for, and how long it may take.
-    fn target(&self) -> (Target, Duration) {
+    fn target(&self) -> (String, Duration) {
         let (wait, slack) = match &self.turns {
             None => (PUSHED_WAIT, PUSHED_SLACK),
             Some(turns) if self.watches => {
@@ -365,19 +351,15 @@
             None => PUSHED_LIST,
         };
         match self.revision {
-            None => (Target::Whole, whole),
-            Some(after) => (Target::Changes(after, wait), wait + slack),
+            None => ("/discovery/hosts".to_owned(), whole),
+            Some(after) => {
+                (format!("/discovery/hosts?after={after}&wait_ms={}", wait.as_millis()), wait + slack)
+            }
         }
     }
 
     async fn call(&mut self) -> Result<List, DiscoveryError> {
         let (target, limit) = self.target();
-        let target = match target {
-            Target::Whole => "/discovery/hosts".to_owned(),
-            Target::Changes(after, wait) => {
-                format!("/discovery/hosts?after={after}&wait_ms={}", wait.as_millis())
-            }
-        };
         let body = timeout(limit, self.fetch(&target)).await.map_err(|_| DiscoveryError::Timeout)??;
         self.translator.list(serde_json::from_slice(&body).map_err(DiscoveryError::Malformed)?)
     }
--- a/crates/rig/src/cost.rs
+++ b/crates/rig/src/cost.rs
@@ -2,6 +2,7 @@
 //! same HTTP library, and through the proxy. The middle is a process of its own, so that its CPU time and memory are
 //! the operating system's own account.
 
+use crate::fleet::{cpu_s, memory};
 use crate::http1;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
@@ -29,8 +30,6 @@
 /// The most boxes and requests of one measurement.
 const MOST_BOXES: usize = 5_000;
 const MOST_REQUESTS: usize = 5_000_000;
-/// Clock ticks a second in the system's account of a process.
-const TICKS: f64 = 100.0;
 /// Requests before the count begins.
 const WARM_UP: usize = 5_000;
 
@@ -174,15 +173,9 @@
 
     /// CPU seconds so far, and resident memory in MB.
     pub(crate) fn used(&self) -> Result<(f64, f64), CostError> {
-        let file = |name: &str| fs::read_to_string(format!("/proc/{}/{name}", self.child.id()));
-        let stat = file("stat")?;
-        // Behind the name in brackets: state is the first field, user and system time the 12th and 13th.
-        let fields: Vec<&str> = stat.rsplit(')').next().unwrap_or_default().split_whitespace().collect();
-        let ticks = |i: usize| fields.get(i).and_then(|f| f.parse::<f64>().ok()).unwrap_or(0.0);
-        let status = file("status")?;
-        let resident = status.lines().find_map(|l| l.strip_prefix("VmRSS:"));
-        let kb = resident.and_then(|l| l.trim().trim_end_matches("kB").trim().parse::<f64>().ok());
-        Ok(((ticks(11) + ticks(12)) / TICKS, kb.unwrap_or(0.0) / 1_024.0))
+        let id = self.child.id();
+        let spent = cpu_s(id).ok_or_else(|| CostError::Middle("the middle has no account".into()))?;
+        Ok((spent, memory(id) as f64 / f64::from(1 << 20)))
     }
 }
 
--- a/crates/rig/tests/scale_fleet.rs
+++ b/crates/rig/tests/scale_fleet.rs
@@ -1,39 +1,26 @@
 //! A small scale run: hollow proxies, sources, relays and a real proxy as processes. Verdicts come from events and counts:
 //! what the rig wrote and was acknowledged, against what each subscriber holds.
 
+#[path = "shared/program.rs"]
+mod program;
+
 use haventrack_rig::fleet::Machine;
 use haventrack_rig::scale::fleet::report::Report;
 use haventrack_rig::scale::fleet::script::{ScaleScript, Step, What};
 use haventrack_rig::scale::fleet::words::Plant;
 use haventrack_rig::scale::fleet::{ScaleError, Setting, play};
+use program::{KEEPER, built, program};
 use std::path::{Path, PathBuf};
-use std::process::Command;
 use std::sync::OnceLock;
 
-const KEEPER: &str = env!("CARGO_BIN_EXE_haventrack-rig");
-
-/// The programs, built as this test is, so that a test never plays older ones.
-fn programs() -> (PathBuf, PathBuf) {
+/// Control's program.
+fn control() -> PathBuf {
     static BUILT: OnceLock<PathBuf> = OnceLock::new();
-    let build = || {
-        let folder = Path::new(KEEPER).parent().expect("programs lie in a folder");
-        let mut cargo = Command::new(env!("CARGO"));
-        cargo.args(["build", "--quiet", "--locked", "--package", "haventrack-program"]);
-        cargo.args(["--package", "haventrack-control", "--bin", "haventrack-proxy"]);
-        cargo.args(["--bin", "haventrack-control"]);
-        cargo.arg("--target-dir").arg(folder.parent().expect("a target folder"));
-        if folder.ends_with("release") {
-            cargo.arg("--release");
-        }
-        assert!(cargo.status().expect("cargo runs").success(), "the programs build");
-        folder.to_owned()
-    };
-    let folder = BUILT.get_or_init(build);
-    (folder.join("haventrack-control"), folder.join("haventrack-proxy"))
+    BUILT.get_or_init(|| built("haventrack-control", "haventrack-control")).clone()
 }
 
 fn setting() -> Setting {
-    let (control, proxy) = programs();
+    let (control, proxy) = (control(), program());
     let machine =
         Machine { proxy, keeper: KEEPER.into(), memory_mb: 32, descriptors: 256, threads: 1, slack: 0 };
     Setting { control, machine, lists: Vec::new() }
