Sockets are read and written until the kernel says stop; logs, slow lists and accepts

Seen: with one read in fifty cut short 3 of 180 requests had no answer, with EINTR on reads and writes 91 of 180; the console's callers were reset; an agent that took 1.5 s for its list was never heard; a log that nobody reads stopped all serving within 16 s; 117 lines of log in 2 s of failing accepts; half of the backends ejected for a second without a route.

Cause: the runtime takes a short read for an empty socket and passes EINTR on as an error (wire.rs, lane.rs, discovery.rs, console.rs, extproc's server.rs). discovery.rs gave a whole list 0.4 s in all, and a connect that failed here cost a round. log.rs wrote on the serving thread. take_completed ended at the first error. NoConn blamed ENETUNREACH on the backend.

Change: crates/sockets, whose reads and writes end at EWOULDBLOCK and go on after EINTR; a list may come for 4 s as long as it does not pause for 0.75 s; connects to discovery that fail for local causes are made again; a thread writes the log from a bounded queue, failures of one kind are told in sums; a failed accept asks others for way only where descriptors or memory are out.

--- a/crates/extproc/src/server.rs
+++ b/crates/extproc/src/server.rs
@@ -334,18 +334,14 @@
 }
 
 impl AsyncRead for Connection {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(cx, buf)
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        haventrack_sockets::poll_read(&self.stream, cx, buf)
     }
 }
 
 impl AsyncWrite for Connection {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        haventrack_sockets::poll_write(&self.stream, cx, buf)
     }
 
     fn poll_write_vectored(
--- a/crates/operations/src/console.rs
+++ b/crates/operations/src/console.rs
@@ -4,6 +4,7 @@
 //! been at it longest gives way to the next: nobody keeps anybody out.
 
 use crate::call::{Answer, Call, LINE_CAP};
+use haventrack_sockets::Stream;
 use std::cell::RefCell;
 use std::collections::VecDeque;
 use std::future::Future;
@@ -54,8 +55,9 @@
     }
 }
 
-async fn attend<F: Future<Output = Answer>>(mut stream: TcpStream, answer: impl Fn(Call) -> F) {
+async fn attend<F: Future<Output = Answer>>(stream: TcpStream, answer: impl Fn(Call) -> F) {
     let _ = stream.set_nodelay(true);
+    let mut stream = Stream::from(stream);
     let mut line = Vec::with_capacity(64);
     let answer = match timeout(CALLER_TIME, read_line(&mut stream, &mut line)).await {
         Err(_) => Answer::Failure(format!("no whole line within {} s", CALLER_TIME.as_secs())),
@@ -82,7 +84,7 @@
 }
 
 /// Reads up to the line's end, the end of the stream, or just beyond the bound, whichever comes first.
-async fn read_line(stream: &mut TcpStream, line: &mut Vec<u8>) -> std::io::Result<()> {
+async fn read_line(stream: &mut Stream, line: &mut Vec<u8>) -> std::io::Result<()> {
     while line.len() <= LINE_CAP {
         let mut piece = [0; LINE_CAP + 1];
         let read = stream.read(&mut piece).await?;
--- a/crates/program/src/main.rs
+++ b/crates/program/src/main.rs
@@ -5,10 +5,11 @@
 use haventrack_extproc::settings::Settings as Extproc;
 use haventrack_program::program::{self, Fronts};
 use haventrack_proxy::config::Config;
-use haventrack_proxy::log::log;
+use haventrack_proxy::log::{self, log};
 use std::error::Error;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use std::time::Duration;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::task::LocalSet;
 
@@ -57,6 +58,9 @@
 /// Their stacks, bytes: they write a file.
 const DISK_STACK: usize = 128 << 10;
 
+/// How long an ending process waits for whoever reads its log.
+const LOG_WITHIN: Duration = Duration::from_millis(50);
+
 fn serve(extproc: Option<&Path>) -> Result<(), Box<dyn Error>> {
     let mut builder = tokio::runtime::Builder::new_current_thread();
     builder.max_blocking_threads(DISK_THREADS).thread_stack_size(DISK_STACK);
@@ -108,11 +112,13 @@
         None => serve(extproc.as_deref()),
         Some(Command::Check { config, extproc }) => check(&config, extproc.as_deref()),
     };
-    match done {
+    let code = match done {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             log(format_args!("haventrack-proxy: {error}"));
             ExitCode::FAILURE
         }
-    }
+    };
+    log::flush(LOG_WITHIN);
+    code
 }
--- a/crates/program/src/program.rs
+++ b/crates/program/src/program.rs
@@ -14,7 +14,7 @@
 use haventrack_operations::console;
 use haventrack_proxy::backends::Fleet;
 use haventrack_proxy::carrier::{Carrier, Handle};
-use haventrack_proxy::clients::{Clients, Phase};
+use haventrack_proxy::clients::{Clients, Completed, Phase};
 use haventrack_proxy::config::Config;
 use haventrack_proxy::discovery::{Translator, Watcher};
 use haventrack_proxy::log::log;
@@ -42,6 +42,8 @@
 const DRAIN_LEAST: Duration = Duration::from_millis(800);
 const DRAIN_QUIET: Duration = Duration::from_millis(300);
 const DRAIN_STEP: Duration = Duration::from_millis(50);
+/// How soon the listener's queue is looked at again where a look failed.
+const LOOK_AGAIN: Duration = Duration::from_millis(5);
 /// Requests that may be open for each client connection that there may be. Attempts of clients that have left go on.
 const OPEN_PER_CLIENT: usize = 8;
 /// The longest deadline that an ending process is given the time for. The platform kills it 0.7 s after that.
@@ -340,8 +342,10 @@
         }
         // The exit resets what stands in the listener's queue. Nothing comes between this look and the exit but what the
         // kernel completes in that moment.
-        if !clients.take_completed(listener) {
-            return;
+        match clients.take_completed(listener) {
+            Completed::Taken => {}
+            Completed::Failed if Instant::now() < end => sleep(LOOK_AGAIN).await,
+            Completed::None | Completed::Failed => return,
         }
     }
 }
--- a/crates/program/tests/faults/calls.rs
+++ b/crates/program/tests/faults/calls.rs
@@ -158,6 +158,7 @@
     discovery.post_unheard(false, &members[..1]);
     sleep_until(told + Duration::from_millis(7_050));
     assert!(backends[0].rest() > 0, "it served before");
+    backends[1].rest();
     play(proxy.address, &backends[1..], 2, 10).keeps_the_rules();
     assert_eq!(backends[0].rest(), 0);
 }
--- a/crates/proxy/src/backends.rs
+++ b/crates/proxy/src/backends.rs
@@ -490,8 +490,8 @@
 /// Whose fault it is that there is no connection.
 enum NoConn {
     Backends,
-    /// This proxy is out of descriptors, ports or memory. That is told of no backend: healthy ones would be
-    /// ejected for it.
+    /// This machine is out of descriptors, ports or memory, or has no route. That is told of no backend: healthy ones
+    /// would be ejected for it.
     Own,
 }
 
@@ -509,7 +509,7 @@
         use io::ErrorKind::*;
         match error.kind() {
             ConnectionRefused | ConnectionReset | ConnectionAborted | TimedOut | NotConnected
-            | HostUnreachable | NetworkUnreachable => Self::Backends,
+            | HostUnreachable => Self::Backends,
             _ => Self::Own,
         }
     }
--- a/crates/proxy/src/clients.rs
+++ b/crates/proxy/src/clients.rs
@@ -14,12 +14,13 @@
 use crate::classes::Classes;
 use crate::exchange::{Call, Payload};
 use crate::lane::{Asker, Doing, Lane, LaneIo};
-use crate::log::log;
+use crate::log::Failures;
 use crate::names::Names;
 use haventrack_decision::api::{Micros, RequestId};
 use haventrack_engine::claims;
 use haventrack_engine::engine::{Arrival, Conduct, Overload, Verdict};
 use haventrack_engine::shell::clock::Clock;
+use haventrack_sockets::retry;
 use hyper::body::Incoming;
 use hyper::header::{self, HeaderValue};
 use hyper::server::conn::http1;
@@ -32,6 +33,7 @@
 use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
 use std::future::Future;
+use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::Context;
@@ -62,6 +64,17 @@
     Closing,
 }
 
+/// What stood in the listener's queue.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Completed {
+    /// Nothing.
+    None,
+    /// Connections, which are served now.
+    Taken,
+    /// That is not known: a call failed.
+    Failed,
+}
+
 /// What all client connections share.
 pub struct Clients {
     handle: Handle,
@@ -79,6 +92,7 @@
     large: Large,
     large_most: usize,
     accepted_at: Cell<Instant>,
+    accept_failures: Failures,
     /// The ids of the requests that have no answer yet.
     ids: RefCell<FxHashSet<HeaderValue>>,
     /// Who holds which request, where callers outside hold some as well.
@@ -116,6 +130,7 @@
             large: Large::new(large_bodies),
             large_most: large_bodies / OF_LARGE,
             accepted_at: Cell::new(Instant::now()),
+            accept_failures: Failures::of("accept"),
             ids: RefCell::default(),
             claims,
         })
@@ -163,8 +178,10 @@
                 Ok((stream, _)) => self.take(stream),
                 // Out of descriptors, or a client that is gone already: neither ends the proxy.
                 Err(error) => {
-                    log(format_args!("accept: {error}"));
-                    self.ask_for_way();
+                    self.accept_failures.note(&error);
+                    if retry::is_exhausted(&error) {
+                        self.ask_for_way();
+                    }
                     let _ = timeout(ACCEPT_BACKOFF, self.freed.notified()).await;
                 }
             }
@@ -178,20 +195,29 @@
     }
 
     /// Takes the connections that the kernel has completed and nobody has accepted, whether or not the runtime has been
-    /// told of them. Whether there were any.
-    pub fn take_completed(self: &Rc<Self>, listener: &TcpListener) -> bool {
-        let mut any = false;
-        while self.open.get() < self.most.get()
-            && let Ok((socket, _)) = SockRef::from(listener).accept()
-        {
-            any = true;
-            let stream = std::net::TcpStream::from(socket);
-            match stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream)) {
-                Ok(stream) => self.take(stream),
-                Err(error) => log(format_args!("accept: {error}")),
+    /// told of them.
+    pub fn take_completed(self: &Rc<Self>, listener: &TcpListener) -> Completed {
+        let mut completed = Completed::None;
+        while self.open.get() < self.most.get() {
+            let accepted = SockRef::from(listener).accept().and_then(|(socket, _)| {
+                let stream = std::net::TcpStream::from(socket);
+                stream.set_nonblocking(true)?;
+                TcpStream::from_std(stream)
+            });
+            match accepted {
+                Ok(stream) => {
+                    completed = Completed::Taken;
+                    self.take(stream);
+                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
+                // Others may stand behind the one that failed.
+                Err(error) => {
+                    self.accept_failures.note(&error);
+                    return Completed::Failed;
+                }
             }
         }
-        any
+        completed
     }
 
     /// Asks the connection that can best be spared to close.
--- a/crates/proxy/src/discovery.rs
+++ b/crates/proxy/src/discovery.rs
@@ -8,16 +8,18 @@
 use crate::log::log;
 use crate::roster::{Entry, Roster};
 use crate::turns::{Failure, OPENING_LIMIT, OPENING_WAIT, Turns, WATCH_SLACK};
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use haventrack_decision::api::{Micros, Readiness};
+use haventrack_sockets::{Stream, retry};
 use http_body_util::{BodyExt, Empty, LengthLimitError, Limited};
-use hyper::body::Body;
+use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::{HOST, HeaderValue};
-use hyper::{Request, StatusCode, Uri};
+use hyper::{Request, Response, StatusCode, Uri};
 use hyper_util::rt::TokioIo;
 use serde_json::Value;
 use std::cell::{Cell, RefCell};
+use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -25,7 +27,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::{Notify, mpsc, watch};
 use tokio::task::JoinHandle;
-use tokio::time::{sleep, sleep_until, timeout};
+use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 
 /// How long a watch on an agent may wait. It costs nothing to ask, so a short wait bounds how long a call that has fallen
 /// silent goes unnoticed.
@@ -41,6 +43,12 @@
 /// How long after a failure an agent is asked again, at first and at the most.
 const FIRST_BACKOFF: Duration = Duration::from_millis(50);
 const MOST_BACKOFF: Duration = Duration::from_millis(100);
+/// How long a list that has begun to come may pause, and how long it may take in all: what discovery had 6 s ago counts as
+/// told, and a list that comes slowly is news all the same.
+const LIST_SILENCE: Duration = Duration::from_millis(750);
+const LIST_WITHIN: Duration = Duration::from_secs(4);
+/// How soon a connect that failed on this machine is tried again.
+const CONNECT_AGAIN: Duration = Duration::from_millis(20);
 /// The largest list that is read, in bytes; some 25,000 entries fit in.
 pub const LIST_CAP: usize = 4 << 20;
 /// How long after a list that is too long another one is asked for, at first and at the most: each costs the service the
@@ -360,11 +368,15 @@
 
     async fn call(&mut self) -> Result<List, DiscoveryError> {
         let (target, limit) = self.target();
-        let body = timeout(limit, self.fetch(&target)).await.map_err(|_| DiscoveryError::Timeout)??;
+        let asked = timeout(limit, self.ask(&target)).await;
+        let (response, conn) = asked.map_err(|_| DiscoveryError::Timeout)??;
+        let body = read_list(response.into_body()).await?;
+        self.conn = Some(conn);
         self.translator.list(serde_json::from_slice(&body).map_err(DiscoveryError::Malformed)?)
     }
 
-    async fn fetch(&mut self, target: &str) -> Result<Bytes, DiscoveryError> {
+    /// Makes a call and waits until its answer begins.
+    async fn ask(&mut self, target: &str) -> Result<(Response<Incoming>, Conn), DiscoveryError> {
         let address = *self.addresses.borrow();
         let mut kept = self.conn.take();
         if let Some(conn) = &mut kept
@@ -387,28 +399,45 @@
         if status != StatusCode::OK {
             return Err(DiscoveryError::Status(status));
         }
-        let body = response.into_body();
-        let told = body.size_hint().exact();
-        if told.is_some_and(|bytes| bytes > LIST_CAP as u64) {
-            return Err(DiscoveryError::Oversized(told));
-        }
-        let body = Limited::new(body, LIST_CAP).collect().await.map_err(|error| {
-            if error.is::<LengthLimitError>() {
-                DiscoveryError::Oversized(None)
-            } else {
-                DiscoveryError::Broken
+        Ok((response, conn))
+    }
+}
+
+/// Reads a list as it comes: for as long as more of it comes, within a bound.
+async fn read_list(body: Incoming) -> Result<Bytes, DiscoveryError> {
+    let told = body.size_hint().exact();
+    if told.is_some_and(|bytes| bytes > LIST_CAP as u64) {
+        return Err(DiscoveryError::Oversized(told));
+    }
+    let end = Instant::now() + LIST_WITHIN;
+    let (mut body, mut list) = (Limited::new(body, LIST_CAP), BytesMut::new());
+    loop {
+        let piece = timeout_at(end.min(Instant::now() + LIST_SILENCE), body.frame()).await;
+        match piece.map_err(|_| DiscoveryError::Timeout)? {
+            None => return Ok(list.freeze()),
+            Some(Ok(frame)) => list.extend(frame.into_data()),
+            Some(Err(error)) if error.is::<LengthLimitError>() => {
+                return Err(DiscoveryError::Oversized(None));
             }
-        })?;
-        let body = body.to_bytes();
-        self.conn = Some(conn);
-        Ok(body)
+            Some(Err(_)) => return Err(DiscoveryError::Broken),
+        }
+    }
+}
+
+/// Connects. Where this machine lacks something for a moment it is tried again: the service has heard nothing of it.
+async fn connect(address: SocketAddr) -> io::Result<TcpStream> {
+    loop {
+        match TcpStream::connect(address).await {
+            Err(error) if retry::is_local(&error) => sleep(CONNECT_AGAIN).await,
+            connected => return connected,
+        }
     }
 }
 
 async fn dial(address: SocketAddr) -> Option<Conn> {
-    let stream = TcpStream::connect(address).await.ok()?;
+    let stream = connect(address).await.ok()?;
     stream.set_nodelay(true).ok()?;
-    let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+    let (sender, connection) = http1::handshake(TokioIo::new(Stream::from(stream))).await.ok()?;
     let task = tokio::task::spawn_local(async move {
         let _ = connection.await;
     });
--- a/crates/proxy/src/lane.rs
+++ b/crates/proxy/src/lane.rs
@@ -332,11 +332,8 @@
         Self { stream, lane }
     }
 
-    fn write(
-        &self,
-        poll: impl FnOnce(Pin<&mut TcpStream>) -> Poll<io::Result<usize>>,
-    ) -> Poll<io::Result<usize>> {
-        let polled = poll(Pin::new(&mut *self.stream.borrow_mut()));
+    fn write(&self, poll: impl FnOnce(&TcpStream) -> Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        let polled = poll(&self.stream.borrow());
         match polled {
             Poll::Pending if self.lane.stuck.get().is_none() => self.lane.stuck.set(Some(Instant::now())),
             Poll::Pending => {}
@@ -352,7 +349,7 @@
         let mut ahead = self.lane.ahead.borrow_mut();
         if ahead.is_empty() {
             drop(ahead);
-            ready!(Pin::new(&mut *self.stream.borrow_mut()).poll_read(cx, buf))?;
+            ready!(haventrack_sockets::poll_read(&self.stream.borrow(), cx, buf))?;
         } else {
             let count = ahead.len().min(buf.remaining());
             buf.put_slice(&ahead.drain(..count).collect::<Vec<_>>());
@@ -367,7 +364,7 @@
 
 impl AsyncWrite for LaneIo {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        self.write(|stream| stream.poll_write(cx, buf))
+        self.write(|stream| haventrack_sockets::poll_write(stream, cx, buf))
     }
 
     fn poll_write_vectored(
@@ -375,7 +372,7 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        self.write(|stream| stream.poll_write_vectored(cx, bufs))
+        self.write(|stream| haventrack_sockets::poll_write_vectored(stream, cx, bufs))
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/proxy/src/wire.rs
+++ b/crates/proxy/src/wire.rs
@@ -1,8 +1,10 @@
 //! A socket to a backend that counts what it took.
 
 use crate::lane::is_quiet;
-use std::cell::{Cell, RefCell};
+use socket2::SockRef;
+use std::cell::Cell;
 use std::io;
+use std::net::Shutdown;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
@@ -11,10 +13,9 @@
 
 /// A connection's socket, with a count of the bytes that it took.
 ///
-/// The socket is read and written through its own implementation: it knows that a read which did not fill the buffer
-/// has emptied the kernel's, so that no second call is made only to be told so, and clears no buffer beforehand.
+/// The socket counts as empty only once the kernel says so (`haventrack_sockets`).
 pub struct Wire {
-    stream: RefCell<TcpStream>,
+    stream: TcpStream,
     written: Cell<u64>,
 }
 
@@ -22,7 +23,7 @@
     /// A socket that has taken nothing yet.
     #[must_use]
     pub fn new(stream: TcpStream) -> Rc<Self> {
-        Rc::new(Self { stream: RefCell::new(stream), written: Cell::new(0) })
+        Rc::new(Self { stream, written: Cell::new(0) })
     }
 
     /// The bytes that it took so far.
@@ -35,14 +36,14 @@
     /// runtime may not have seen yet what the kernel knows already, so the socket itself is asked.
     #[must_use]
     pub fn is_quiet(&self) -> bool {
-        is_quiet(&self.stream.borrow())
+        is_quiet(&self.stream)
     }
 
     fn poll_counted(
         &self,
-        poll: impl FnOnce(Pin<&mut TcpStream>) -> Poll<io::Result<usize>>,
+        poll: impl FnOnce(&TcpStream) -> Poll<io::Result<usize>>,
     ) -> Poll<io::Result<usize>> {
-        let written = ready!(poll(Pin::new(&mut *self.stream.borrow_mut())))?;
+        let written = ready!(poll(&self.stream))?;
         self.written.set(self.written.get() + written as u64);
         Poll::Ready(Ok(written))
     }
@@ -53,13 +54,13 @@
 
 impl AsyncRead for WireIo {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut *self.0.stream.borrow_mut()).poll_read(cx, buf)
+        haventrack_sockets::poll_read(&self.0.stream, cx, buf)
     }
 }
 
 impl AsyncWrite for WireIo {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        self.0.poll_counted(|stream| stream.poll_write(cx, buf))
+        self.0.poll_counted(|stream| haventrack_sockets::poll_write(stream, cx, buf))
     }
 
     fn poll_write_vectored(
@@ -67,7 +68,7 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        self.0.poll_counted(|stream| stream.poll_write_vectored(cx, bufs))
+        self.0.poll_counted(|stream| haventrack_sockets::poll_write_vectored(stream, cx, bufs))
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -78,7 +79,7 @@
         Poll::Ready(Ok(()))
     }
 
-    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut *self.0.stream.borrow_mut()).poll_shutdown(cx)
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(SockRef::from(&self.0.stream).shutdown(Shutdown::Write))
     }
 }
