A request's time counts from when it came; no close over further requests; ends in time

Seen: deadlines passed on were 0.28 s too long after a stall of 0.3 s, 0.68 s for the third of three pipelined requests, 0.38 s for a request that waited for a new process's first list. An ending process answered one of four requests sent together. A client that stopped within a body stayed for 4.4 s (60 KB had come) and over 6 s (300 KB, 2 MB). A broken answer looked whole to a client of HTTP/1.0. After SIGHUP had shortened the deadlines to 0.3 s the process ended 1.5 s after SIGTERM, not 1.0 s.

Cause: inbound.rs took the moment of reading for the arrival; respond() closed whatever had come behind; gather() and time_over() bounded a body by its size alone; how a connection ended was thrown away; renewal.rs kept the longest deadline that ever held.

Change: StallMonitor tells since when what is read now may have been there, each connection keeps that for its last byte (also for what was read ahead, and for what waited before the first accept); Framing knows whether more than the open request has come, and such a connection is not given back; a body may pause for 2.5 s; a broken answer ends with a reset; the drain counts from the earliest moment at which the signal may have come, from the deadlines that hold, and at 0.4 s beyond them at the least.

--- a/crates/engine/src/shell/clock.rs
+++ b/crates/engine/src/shell/clock.rs
@@ -27,6 +27,12 @@
         self.unix + micros(self.origin.elapsed())
     }
 
+    /// The time of this clock at a moment of the runtime's; its beginning for what lies before that.
+    #[must_use]
+    pub fn at(&self, instant: Instant) -> Micros {
+        self.unix + micros(instant.saturating_duration_since(self.origin))
+    }
+
     /// A point of this clock as the runtime's timers want it.
     #[must_use]
     pub fn instant(&self, at: Micros) -> Instant {
--- a/crates/program/src/program.rs
+++ b/crates/program/src/program.rs
@@ -20,6 +20,7 @@
 use haventrack_proxy::log::log;
 use haventrack_proxy::names::Names;
 use haventrack_proxy::roster::Roster;
+use haventrack_proxy::stall::StallMonitor;
 use haventrack_proxy::turns::Turns;
 use haventrack_settings::renewal::RenewalError;
 use std::cell::{Cell, RefCell};
@@ -40,6 +41,8 @@
 /// After SIGTERM, connections still come for a while: how long the proxy goes on at the least, and how long
 /// nobody must have connected.
 const DRAIN_LEAST: Duration = Duration::from_millis(800);
+/// New connections come for so long after SIGTERM; with short deadlines the process goes on for that and the deadline.
+const CONNECTIONS_COME: Duration = Duration::from_millis(400);
 const DRAIN_QUIET: Duration = Duration::from_millis(300);
 const DRAIN_STEP: Duration = Duration::from_millis(50);
 /// How soon the listener's queue is looked at again where a look failed.
@@ -194,6 +197,8 @@
     };
     let unheard = |error| ProgramError::Listen(config.listen, error);
     let listener = Rc::new(listen(config.listen, config.console.is_some()).map_err(unheard)?);
+    let opened = Instant::now();
+    let monitor = StallMonitor::new(opened);
     let address = listener.local_addr().map_err(unheard)?;
     log(format_args!("{} listens on {address}", config.name));
     // Each client connection carries one request, and one whose client has left may run on for a while.
@@ -237,6 +242,7 @@
         most,
         config.large_bodies,
         claims,
+        Rc::clone(&monitor),
     );
     let sockets = Sockets { clients: most, backends: config.backend_sockets };
     let staff = files.map(|files| {
@@ -269,7 +275,8 @@
     let engine = tokio::task::spawn_local(handle.run());
     tokio::task::spawn_local(watcher.run());
     tokio::task::spawn_local(fleet.sweep());
-    let accepting = Rc::clone(&clients).accept(Rc::clone(&listener));
+    tokio::task::spawn_local(Rc::clone(&monitor).run());
+    let accepting = Rc::clone(&clients).accept(Rc::clone(&listener), opened);
     tokio::task::spawn_local(async move {
         // What an agent has counts as told: a request that was sent by an older list might go to a backend that leaves.
         // Until the agent has answered, or failed to, clients wait in the kernel's queue.
@@ -285,7 +292,9 @@
                 staff.drains();
             }
             let longest = Duration::from_micros(longest.get());
-            let drained = drain(&clients, &ending, &listener, &phase, longest);
+            // The signal may have come at any moment of a time in which this process stood.
+            let began = monitor.earliest(Instant::now());
+            let drained = drain(&clients, &ending, &listener, &phase, began, longest);
             match &extproc {
                 Some(extproc) => {
                     tokio::join!(drained, extproc.drain(longest));
@@ -323,13 +332,14 @@
     handle: &Handle,
     listener: &TcpListener,
     phase: &watch::Sender<Phase>,
+    began: Instant,
     longest: Duration,
 ) {
-    let began = Instant::now();
     let longest = longest.min(DRAIN_LONGEST);
-    handle.answer_by(handle.clock().now() + micros(longest + ANSWER_SLACK));
+    let least = DRAIN_LEAST.min(longest + CONNECTIONS_COME);
+    handle.answer_by(handle.clock().at(began) + micros(longest + ANSWER_SLACK));
     let _ = phase.send(Phase::Draining);
-    while began.elapsed() < DRAIN_LEAST || (clients.quiet() < DRAIN_QUIET && began.elapsed() < longest) {
+    while began.elapsed() < least || (clients.quiet() < DRAIN_QUIET && began.elapsed() < longest) {
         sleep(DRAIN_STEP).await;
     }
     let _ = phase.send(Phase::Closing);
--- a/crates/program/src/renewal.rs
+++ b/crates/program/src/renewal.rs
@@ -8,7 +8,7 @@
 use haventrack_proxy::config::{Config, ConfigError};
 use haventrack_proxy::log::log;
 use haventrack_proxy::names::Names;
-use haventrack_settings::renewal::{Classes, RenewalError, at_start_only, longest};
+use haventrack_settings::renewal::{Classes, RenewalError, at_start_only};
 use serde_json::Value;
 use std::cell::Cell;
 use std::net::SocketAddr;
@@ -28,7 +28,7 @@
     /// The fingerprint of what is learnt of.
     learns: Rc<Cell<u64>>,
     handle: Handle,
-    /// The longest that a client waits, of the classes that hold and have held.
+    /// The longest that a client waits, of the classes that hold.
     longest: Rc<Cell<Micros>>,
 }
 
@@ -46,7 +46,7 @@
     ) -> Result<Self, RenewalError> {
         let classes = Classes::new(&names.classes)?;
         learns.set(learnt_of(&classes, &names));
-        let longest = Rc::new(Cell::new(longest(&settings.classes)));
+        let longest = Rc::new(Cell::new(longest(&classes, &settings)));
         Ok(Self { start: shape.clone(), shape, settings, classes, names, learns, handle, longest })
     }
 
@@ -91,7 +91,7 @@
         self.handle.retune(&settings).map_err(ConfigError::Settings)?;
         self.handle.transport().fleet.retune(config.dial_timeout, settings.permissions.conn_idle);
         clients.classes().borrow_mut().hold(self.handle.clock().now(), &settings, classes.named());
-        self.longest.set(longest(&settings.classes));
+        self.longest.set(longest(&classes, &settings));
         self.learns.set(learnt_of(&classes, &self.names));
         if settings != self.settings {
             let names: Vec<_> = classes.named().map(|(_, name)| name).collect();
@@ -108,6 +108,13 @@
     }
 }
 
+/// The longest that a client of the classes that hold waits. Whoever ends the process goes by these, and what came under
+/// others before has its answer by then as well.
+fn longest(classes: &Classes, settings: &Settings) -> Micros {
+    let held = classes.named().filter_map(|(place, _)| settings.classes.get(place));
+    held.map(|class| class.deadline).max().unwrap_or_default()
+}
+
 /// Limits and latencies are learnt by class, kind and zone: figures of others by the same places are another's.
 fn learnt_of(classes: &Classes, names: &Names) -> u64 {
     let classes = classes.named().flat_map(|(place, name)| [place.to_string(), name.to_owned()]);
--- a/crates/proxy/src/backends.rs
+++ b/crates/proxy/src/backends.rs
@@ -465,7 +465,8 @@
         if let Some(ended) = upload.ended() {
             break ended;
         }
-        if Instant::now() > began + pace::time_for(upload.passed()) {
+        let silent_at = upload.heard_at().max(began) + pace::SILENCE;
+        if Instant::now() > (began + pace::time_for(upload.passed())).min(silent_at) {
             return;
         }
         sleep(LOOK_EVERY).await;
--- a/crates/proxy/src/body.rs
+++ b/crates/proxy/src/body.rs
@@ -106,6 +106,8 @@
     /// Room that what has come takes.
     _room: Option<Reserved>,
     passed: Cell<u64>,
+    /// When its last piece came.
+    heard_at: Cell<Instant>,
     /// When its last byte was passed on.
     ended: Cell<Option<Instant>>,
     /// The client's connection failed within it.
@@ -127,6 +129,7 @@
             length,
             _room: room,
             passed: Cell::new(0),
+            heard_at: Cell::new(Instant::now()),
             ended: Cell::new(None),
             failed: Cell::new(false),
         })
@@ -144,6 +147,12 @@
         self.failed.get()
     }
 
+    /// When its last piece came.
+    #[must_use]
+    pub fn heard_at(&self) -> Instant {
+        self.heard_at.get()
+    }
+
     /// The bytes that were passed on so far.
     #[must_use]
     pub fn passed(&self) -> u64 {
@@ -183,6 +192,7 @@
             // Trailers speak of the client's framing, which ends here.
             let Ok(bytes) = frame.into_data() else { continue };
             self.passed.set(self.passed.get() + bytes.len() as u64);
+            self.heard_at.set(Instant::now());
             if self.passed.get() > BODY_MOST {
                 self.failed.set(true);
                 return Poll::Ready(Some(Err(BrokenOff::TooLarge)));
--- a/crates/proxy/src/clients.rs
+++ b/crates/proxy/src/clients.rs
@@ -13,9 +13,10 @@
 use crate::claim::{Claim, Taken};
 use crate::classes::Classes;
 use crate::exchange::{Call, Payload};
-use crate::lane::{Asker, Doing, Lane, LaneIo};
+use crate::lane::{Asker, Doing, Lane, LaneIo, is_quiet};
 use crate::log::Failures;
 use crate::names::Names;
+use crate::stall::StallMonitor;
 use haventrack_decision::api::{Micros, RequestId};
 use haventrack_engine::claims;
 use haventrack_engine::engine::{Arrival, Conduct, Overload, Verdict};
@@ -92,6 +93,7 @@
     large: Large,
     large_most: usize,
     accepted_at: Cell<Instant>,
+    monitor: Rc<StallMonitor>,
     accept_failures: Failures,
     /// The ids of the requests that have no answer yet.
     ids: RefCell<FxHashSet<HeaderValue>>,
@@ -115,6 +117,7 @@
         most: usize,
         large_bodies: usize,
         claims: Option<claims::Shared>,
+        monitor: Rc<StallMonitor>,
     ) -> Rc<Self> {
         Rc::new(Self {
             handle,
@@ -130,6 +133,7 @@
             large: Large::new(large_bodies),
             large_most: large_bodies / OF_LARGE,
             accepted_at: Cell::new(Instant::now()),
+            monitor,
             accept_failures: Failures::of("accept"),
             ids: RefCell::default(),
             claims,
@@ -165,8 +169,9 @@
         self.freed.notified().await;
     }
 
-    /// Accepts connections for as long as the proxy runs.
-    pub async fn accept(self: Rc<Self>, listener: Rc<TcpListener>) {
+    /// Accepts connections for as long as the proxy runs. Those that come first may have waited since `opened`.
+    pub async fn accept(self: Rc<Self>, listener: Rc<TcpListener>, opened: Instant) {
+        let mut waited_since = Some(opened);
         loop {
             // Beyond the cap clients wait in the kernel's queue instead of taking the backends' descriptors. Those
             // that say nothing would hold those up for long: they make room.
@@ -174,8 +179,15 @@
                 self.ask_for_way();
                 let _ = timeout(WAY, self.freed.notified()).await;
             }
-            match listener.accept().await {
-                Ok((stream, _)) => self.take(stream),
+            let accepted = std::future::poll_fn(|cx| {
+                let polled = listener.poll_accept(cx);
+                if polled.is_pending() {
+                    waited_since = None;
+                }
+                polled
+            });
+            match accepted.await {
+                Ok((stream, _)) => self.take(stream, waited_since),
                 // Out of descriptors, or a client that is gone already: neither ends the proxy.
                 Err(error) => {
                     self.accept_failures.note(&error);
@@ -188,10 +200,11 @@
         }
     }
 
-    fn take(self: &Rc<Self>, stream: TcpStream) {
+    fn take(self: &Rc<Self>, stream: TcpStream, waited_since: Option<Instant>) {
         self.accepted_at.set(Instant::now());
         self.open.set(self.open.get() + 1);
-        tokio::task::spawn_local(Rc::clone(self).connection(stream));
+        let waited_since = waited_since.filter(|_| !is_quiet(&stream));
+        tokio::task::spawn_local(Rc::clone(self).connection(stream, waited_since));
     }
 
     /// Takes the connections that the kernel has completed and nobody has accepted, whether or not the runtime has been
@@ -207,7 +220,7 @@
             match accepted {
                 Ok(stream) => {
                     completed = Completed::Taken;
-                    self.take(stream);
+                    self.take(stream, None);
                 }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
                 // Others may stand behind the one that failed.
@@ -230,9 +243,9 @@
         }
     }
 
-    async fn connection(self: Rc<Self>, stream: TcpStream) {
+    async fn connection(self: Rc<Self>, stream: TcpStream, waited_since: Option<Instant>) {
         let _ = stream.set_nodelay(true);
-        let lane = Lane::new(Instant::now());
+        let lane = Lane::new(Instant::now(), Rc::clone(&self.monitor), waited_since);
         let place = self.lanes.borrow_mut().insert(Rc::clone(&lane));
         let stream = Rc::new(RefCell::new(stream));
         let end = self.converse(&stream, &lane).await;
@@ -240,6 +253,7 @@
             match end {
                 End::Answered => linger(stream.into_inner()).await,
                 End::Unasked => part(stream.into_inner()).await,
+                End::Broken => drop(stream.into_inner().set_zero_linger()),
                 End::Closed => {}
             }
         }
@@ -277,8 +291,13 @@
             let is_quiet = || lane.is_quiet(&stream.borrow());
             tokio::select! {
                 biased;
-                // How it ended does not matter here: a client that left has been reported by its guard.
-                _ = std::future::poll_fn(&mut converse) => return End::Answered,
+                ended = std::future::poll_fn(&mut converse) => return match ended {
+                    // A client that left has been reported by its guard.
+                    Ok(()) => End::Answered,
+                    // An answer broke off. Whoever goes by the end of the connection must not take it for whole.
+                    Err(error) if error.is_user() => End::Broken,
+                    Err(_) => End::Answered,
+                },
                 Ok(()) = phase.changed() => {}
                 () = lane.closes.notified() => {
                     if lane.may_close() && is_quiet() {
@@ -333,11 +352,10 @@
                 response
             })
         };
-        // Close to the cap, connections are given back after each answer. Whoever has left asks nothing more.
-        if lane.has_left()
-            || *self.phase.borrow() != Phase::Running
-            || self.open.get() * 8 >= self.most.get() * 7
-        {
+        // Close to the cap, connections are given back after each answer, but for those on which more has come: a close
+        // would leave that without an answer. Whoever has left asks nothing more.
+        let gives_back = *self.phase.borrow() != Phase::Running || self.open.get() * 8 >= self.most.get() * 7;
+        if lane.has_left() || (gives_back && !lane.has_more(&stream.borrow())) {
             close(&mut response);
         }
         response
--- a/crates/proxy/src/clients/closing.rs
+++ b/crates/proxy/src/clients/closing.rs
@@ -17,6 +17,8 @@
     Answered,
     /// It was at rest. A request that crosses the close is not read: its client then sends it once more elsewhere.
     Unasked,
+    /// An answer broke off on it: it is reset.
+    Broken,
     /// It makes room at once.
     Closed,
 }
--- a/crates/proxy/src/clients/inbound.rs
+++ b/crates/proxy/src/clients/inbound.rs
@@ -84,7 +84,7 @@
         let length = exact_size(&body, &head.headers);
         let body = self.gather(body, length).await?;
         // The time of a request counts from its last byte. One that is passed on as it comes has not ended yet.
-        let arrived = self.clock.now();
+        let arrived = self.clock.at(lane.heard_at());
         let headers = forwarded(head.headers);
         let target = origin_form(head.uri).ok_or(bad("the target makes no sense\n"))?;
         let own = Duration::from_micros(patience.saturating_sub(ANSWER_MARGIN.min(patience / 2)));
@@ -106,7 +106,7 @@
         let (began, mut size) = (Instant::now(), 0);
         let (mut pieces, mut room) = (VecDeque::new(), None::<Reserved>);
         loop {
-            let by = began + pace::time_for(size as u64);
+            let by = (began + pace::time_for(size as u64)).min(Instant::now() + pace::SILENCE);
             let piece = timeout_at(by, next_piece(&mut body)).await;
             let piece = piece.map_err(|_| Rejected(StatusCode::REQUEST_TIMEOUT, "the body is late\n"))?;
             let piece = piece.map_err(|_| Rejected(StatusCode::BAD_REQUEST, "the body is broken\n"))?;
--- a/crates/proxy/src/lane.rs
+++ b/crates/proxy/src/lane.rs
@@ -2,9 +2,14 @@
 //! when. What it may still take, and whether it may be closed, is decided here by times that are given in; the socket is
 //! only passed through.
 
+mod ahead;
+mod framing;
+
+use self::ahead::Ahead;
+use self::framing::Framing;
+use crate::stall::StallMonitor;
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
-use std::collections::VecDeque;
 use std::io;
 use std::mem::MaybeUninit;
 use std::pin::Pin;
@@ -29,8 +34,6 @@
 /// How long a client may take for its first word while the process ends: it has connected in order to ask, and a connection
 /// that closes with no answer was not taken for nothing. Within what an ending process has at the least.
 const FIRST_WORD: Duration = Duration::from_millis(700);
-/// The bytes of a head that are kept for a second look.
-const KEPT: usize = crate::bounds::REQUEST_HEAD_CAP;
 /// The bytes that are read ahead while a request is open, so that its client's leaving is seen behind them.
 const AHEAD: usize = crate::bounds::REQUEST_HEAD_CAP;
 /// For how long a look that found the client there is good enough for an attempt to begin: the first one begins in the turn
@@ -59,14 +62,19 @@
     since: Cell<Instant>,
     /// Since when bytes wait that the client does not take.
     stuck: Cell<Option<Instant>>,
-    /// The bytes that came since the last answer, up to a bound.
-    head: RefCell<Vec<u8>>,
+    /// Which of the bytes that came belong to which request.
+    framing: RefCell<Framing>,
+    /// The earliest moment at which the last of them may have come.
+    heard_at: Cell<Instant>,
+    /// Since when it may have waited with bytes on it before it was accepted.
+    waited_since: Cell<Option<Instant>>,
+    monitor: Rc<StallMonitor>,
     /// A request came on it.
     asked: Cell<bool>,
     /// The open request is whole, so that what comes now is no part of it.
     whole: Cell<bool>,
     /// What was read of the next requests.
-    ahead: RefCell<VecDeque<u8>>,
+    ahead: RefCell<Ahead>,
     /// When the kernel was last asked whether the client has left.
     looked: Cell<Option<Instant>>,
     /// The client has left, and who waits to hear of it.
@@ -77,14 +85,17 @@
 }
 
 impl Lane {
-    /// A connection that has just come.
+    /// A connection that has just come; `waited_since`: since when it may have stood with bytes on it.
     #[must_use]
-    pub fn new(now: Instant) -> Rc<Self> {
+    pub fn new(now: Instant, monitor: Rc<StallMonitor>, waited_since: Option<Instant>) -> Rc<Self> {
         Rc::new(Self {
             doing: Cell::new(Doing::Resting),
             since: Cell::new(now),
             stuck: Cell::new(None),
-            head: RefCell::default(),
+            framing: RefCell::default(),
+            heard_at: Cell::new(now),
+            waited_since: Cell::new(waited_since),
+            monitor,
             asked: Cell::new(false),
             whole: Cell::new(false),
             ahead: RefCell::default(),
@@ -100,29 +111,39 @@
         self.since.set(now);
     }
 
-    /// Bytes have come.
-    fn heard(&self, bytes: &[u8], now: Instant) {
-        match self.doing.get() {
-            Doing::Asking => return,
-            Doing::Resting => self.turn(Doing::Heading, now),
-            Doing::Heading => {}
+    /// Bytes have come, at this moment at the earliest.
+    fn heard(&self, bytes: &[u8], now: Instant, came: Instant) {
+        if self.doing.get() == Doing::Resting {
+            self.turn(Doing::Heading, now);
         }
-        let mut head = self.head.borrow_mut();
-        let room = KEPT.saturating_sub(head.len());
-        head.extend_from_slice(&bytes[..bytes.len().min(room)]);
+        self.heard_at.set(came);
+        self.framing.borrow_mut().came(bytes);
+    }
+
+    /// The earliest moment at which bytes may have come that the kernel gives at `now`.
+    fn came(&self, now: Instant) -> Instant {
+        self.waited_since.take().unwrap_or_else(|| self.monitor.earliest(now))
+    }
+
+    /// The earliest moment at which the last byte that was read may have come.
+    #[must_use]
+    pub fn heard_at(&self) -> Instant {
+        self.heard_at.get()
     }
 
     /// The head of a request is whole.
     pub fn asks(&self, now: Instant) {
         self.asked.set(true);
+        self.framing.borrow_mut().head_was_read();
         self.turn(Doing::Asking, now);
     }
 
     /// The request has its answer.
     pub fn answered(&self, now: Instant) {
-        self.head.borrow_mut().clear();
+        let mut framing = self.framing.borrow_mut();
+        framing.was_answered();
         self.whole.set(false);
-        self.turn(Doing::Resting, now);
+        self.turn(if framing.has_more() { Doing::Heading } else { Doing::Resting }, now);
     }
 
     /// All of the open request that can be waited for has come.
@@ -185,7 +206,7 @@
         let mut bytes = [0; AHEAD_STEP];
         match io::Read::read(&mut &*SockRef::from(stream), &mut bytes) {
             Ok(0) => self.leave(),
-            Ok(count) => self.ahead.borrow_mut().extend(&bytes[..count]),
+            Ok(count) => self.ahead.borrow_mut().push(&bytes[..count], self.came(Instant::now())),
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Err(error),
             Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
             Err(_) => self.leave(),
@@ -200,17 +221,16 @@
         self.ahead.borrow().is_empty() && is_quiet(stream)
     }
 
-    /// Whether the head that came holds both a length and an encoding. The HTTP library drops the length unseen. Of a
-    /// head that came ahead of the last answer nothing is known; the library closes the connection behind such a one.
+    /// Whether more has come than the open request: its client is owed an answer to that as well.
+    #[must_use]
+    pub fn has_more(&self, stream: &TcpStream) -> bool {
+        self.framing.borrow().has_more() || !self.is_quiet(stream)
+    }
+
+    /// Whether the head that came holds both a length and an encoding. The HTTP library drops the length unseen.
     #[must_use]
     pub fn has_length_and_encoding(&self) -> bool {
-        let head = self.head.borrow();
-        let end = head.windows(4).position(|w| w == b"\r\n\r\n").unwrap_or(head.len());
-        let named = |name: &[u8]| {
-            let mut lines = head[..end].split(|&byte| byte == b'\n');
-            lines.any(|line| line.len() > name.len() && line[..name.len()].eq_ignore_ascii_case(name))
-        };
-        named(b"content-length:") && named(b"transfer-encoding:")
+        self.framing.borrow().has_length_and_encoding()
     }
 
     /// Whether its time is over.
@@ -346,17 +366,20 @@
 impl AsyncRead for LaneIo {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
-        let mut ahead = self.lane.ahead.borrow_mut();
-        if ahead.is_empty() {
-            drop(ahead);
-            ready!(haventrack_sockets::poll_read(&self.stream.borrow(), cx, buf))?;
-        } else {
-            let count = ahead.len().min(buf.remaining());
-            buf.put_slice(&ahead.drain(..count).collect::<Vec<_>>());
-        }
+        let ahead = self.lane.ahead.borrow_mut().take(buf.remaining());
+        let came = match ahead {
+            Some((bytes, came)) => {
+                buf.put_slice(&bytes);
+                came
+            }
+            None => {
+                ready!(haventrack_sockets::poll_read(&self.stream.borrow(), cx, buf))?;
+                self.lane.came(Instant::now())
+            }
+        };
         let bytes = &buf.filled()[before..];
-        if !bytes.is_empty() && self.lane.doing() != Doing::Asking {
-            self.lane.heard(bytes, Instant::now());
+        if !bytes.is_empty() {
+            self.lane.heard(bytes, Instant::now(), came);
         }
         Poll::Ready(Ok(()))
     }
--- a/crates/proxy/src/lane/tests.rs
+++ b/crates/proxy/src/lane/tests.rs
@@ -1,14 +1,18 @@
 use super::*;
 
+fn lane(now: Instant) -> Rc<Lane> {
+    Lane::new(now, StallMonitor::new(now), None)
+}
+
 #[test]
 fn time_counts_from_what_was_last_heard() {
     let began = Instant::now();
-    let lane = Lane::new(began);
+    let lane = lane(began);
     let at = |ms: u64| began + Duration::from_millis(ms);
     assert!(!lane.is_over(at(2_400)) && lane.is_over(at(2_500)));
     // It rested for 2.4 s, and now has its whole time for a head.
-    lane.heard(b"GE", at(2_400));
-    lane.heard(b"T /", at(4_000));
+    lane.heard(b"GE", at(2_400), at(2_400));
+    lane.heard(b"T /", at(4_000), at(4_000));
     assert_eq!(lane.doing(), Doing::Heading);
     assert!(!lane.is_over(at(4_800)) && lane.is_over(at(4_900)));
     lane.asks(at(4_800));
@@ -20,8 +24,8 @@
 #[test]
 fn the_longest_at_rest_gives_way_first_and_an_open_request_never() {
     let began = Instant::now();
-    let lanes: Vec<_> = (0..4).map(|n| Lane::new(began + Duration::from_secs(n))).collect();
-    lanes[0].heard(b"G", began + Duration::from_secs(5));
+    let lanes: Vec<_> = (0..4).map(|n| lane(began + Duration::from_secs(n))).collect();
+    lanes[0].heard(b"G", began + Duration::from_secs(5), began);
     lanes[3].asks(began + Duration::from_secs(6));
     let first = |secs: u64| {
         let now = began + Duration::from_secs(secs);
@@ -42,8 +46,8 @@
 #[test]
 fn a_length_beside_an_encoding_is_seen_in_either_order_and_only_in_the_head() {
     let seen = |text: &str| {
-        let lane = Lane::new(Instant::now());
-        text.as_bytes().chunks(7).for_each(|piece| lane.heard(piece, Instant::now()));
+        let lane = lane(Instant::now());
+        text.as_bytes().chunks(7).for_each(|piece| lane.heard(piece, Instant::now(), Instant::now()));
         lane.has_length_and_encoding()
     };
     let (length, encoding) = ("Content-Length: 5\r\n", "transfer-encoding: chunked\r\n");
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -16,5 +16,6 @@
 pub mod names;
 pub mod pace;
 pub mod roster;
+pub mod stall;
 pub mod turns;
 pub mod wire;
--- a/crates/settings/src/renewal.rs
+++ b/crates/settings/src/renewal.rs
@@ -103,12 +103,6 @@
     again.map_or(Ok(()), |(place, name)| Err(RenewalError::SameName(place, name.clone())))
 }
 
-/// The longest time that a client of any of these classes waits.
-#[must_use]
-pub fn longest(classes: &[Class]) -> u64 {
-    classes.iter().map(|class| class.deadline).max().unwrap_or_default()
-}
-
 /// Keys of a class that only some effects have.
 const BY_EFFECT: [&str; 2] = ["group", "keyTtlUs"];
 /// Keys under which the present configuration holds data and no settings, so that their parts may differ.
