Bans bind at once and are owed to the disk; starts bounded by their news; windows hold

Cause: staff.rs kept a change first and then had it in force, and took a stamp for seen before it had read the file; first calls were made once; the window was looked at when the decision was made, and the connection came up later (backends.rs); unreadable entries were passed over (translator.rs); starts were the difference of two wall clocks (clock.rs); bans were kept by the wall clock.

Change: operations::pending holds what is in force and not on the disk, files.rs writes it until it is there (a whole file that is not synced takes its place, and is written again); first calls, the listener and the configuration are tried for some seconds; Action::Send tells by when an attempt may begin, looked at right before its first byte; an unreadable entry drains its backend; discovery::starts bounds a start by its first sight, by the youngest start of the same list, and to twice the capacity that coldFrom tells; bans are kept by the machine's monotonic clock.

--- a/crates/decision/src/api.rs
+++ b/crates/decision/src/api.rs
@@ -405,6 +405,8 @@
         request: RequestId,
         /// Where to.
         backend: BackendId,
+        /// From when on it may not begin any more, however late its connection comes up; `Micros::MAX`: never.
+        begin_by: Micros,
         /// When to give it up.
         give_up_at: Micros,
     },
--- a/crates/decision/src/balancer.rs
+++ b/crates/decision/src/balancer.rs
@@ -284,11 +284,13 @@
         self.in_flight += 1;
         server.window.filled |= i64::from(server.in_flight) * 4 >= server.slots(self.pool.spread) * 3;
         let (give_up_at, early) = self.give_up_at(now, &self.open[slot]);
+        let begin_by = self.begin_by(&self.open[slot]);
         let open = &mut self.open[slot];
         let state = AttemptState::Out;
         open.attempts.push(Attempt { server: index, sent_at: now, rested, early, state });
         self.servers[index].held += 1;
-        out.push(Action::Send { request: open.id, backend: self.servers[index].id, give_up_at });
+        let (request, backend) = (open.id, self.servers[index].id);
+        out.push(Action::Send { request, backend, begin_by, give_up_at });
     }
 
     fn on_settled(&mut self, now: Micros, settled: Settled<'_>, out: &mut Vec<Action>) {
--- a/crates/decision/src/balancer/repeats.rs
+++ b/crates/decision/src/balancer/repeats.rs
@@ -37,6 +37,16 @@
         }
     }
 
+    /// Rule 2: from when on a further attempt may not begin any more. Its connection may come up after the window in which
+    /// its backends remember the key.
+    pub(super) fn begin_by(&self, open: &Open) -> Micros {
+        let first = open.attempts.iter().find(|a| a.state != AttemptState::NeverRan);
+        match (first, self.settings.classes[open.class].effect) {
+            (Some(first), Effect::Keyed { ttl, .. }) => first.sent_at.saturating_add(ttl),
+            _ => Micros::MAX,
+        }
+    }
+
     /// Rule 2: whether the client may be told that trying again is harmless.
     pub(super) fn may_refuse(&self, open: &Open) -> bool {
         let may_have_run = open.attempts.iter().any(|a| a.state != AttemptState::NeverRan);
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -12,7 +12,7 @@
 use crate::lease::{Lease, LeaseCounts, LeaseError, LeaseId, Leases, Stage};
 use crate::open::{Attempt, Open, Pending, State};
 pub use crate::terms::{
-    Arrival, Bounds, Command, Conduct, Counts, Ended, Exchange, Grant, Overload, Verdict,
+    Arrival, Bounds, Command, Conduct, Counts, Ended, Exchange, Grant, Overload, Schedule, Verdict,
 };
 use crate::timers::{Due, Timers};
 use haventrack_decision::api::{
@@ -482,7 +482,9 @@
         let mut actions = std::mem::take(&mut self.actions);
         for action in actions.drain(..) {
             match action {
-                Action::Send { request, backend, give_up_at } => self.send(now, request, backend, give_up_at),
+                Action::Send { request, backend, begin_by, give_up_at } => {
+                    self.send(now, request, backend, Schedule { begin_by, give_up_at });
+                }
                 Action::Refuse { request, retry_after } => {
                     self.answer(request, Verdict::Refused { retry_after });
                 }
@@ -513,23 +515,24 @@
         self.forget(request);
     }
 
-    fn send(&mut self, now: Micros, request: RequestId, backend: BackendId, give_up_at: Micros) {
+    fn send(&mut self, now: Micros, request: RequestId, backend: BackendId, schedule: Schedule) {
         let Some(open) = self.open.get_mut(&request) else { return };
         let attempt = open.attempts.len() as u16;
-        let may_go = open.reply.is_some() && open.attempts.len() < open.max_attempts && give_up_at > now;
+        let may_go =
+            open.reply.is_some() && open.attempts.len() < open.max_attempts && schedule.give_up_at > now;
         open.attempts.push(Attempt { backend, sent_at: now, state: State::Out, lease: 0 });
         self.counts.attempts += 1;
         match &open.conduct {
             _ if !may_go => self.never_sent.push_back(Pending { request, attempt }),
             Conduct::Carried(work) => {
                 let (work, once) = (work.clone(), X::goes_once(work));
-                self.commands.push_back(Command::Start { request, attempt, backend, give_up_at, work });
+                self.commands.push_back(Command::Start { request, attempt, backend, schedule, work });
                 if once {
                     // What is not kept can't be sent again, whatever comes of it.
                     self.balancer.handle(now, Event::FirstByte { request, attempt }, &mut self.actions);
                 }
             }
-            Conduct::Leased => self.grant(now, request, attempt, backend, give_up_at),
+            Conduct::Leased => self.grant(now, request, attempt, backend, schedule),
         }
     }
 
@@ -539,9 +542,9 @@
         request: RequestId,
         attempt: u16,
         backend: BackendId,
-        give_up_at: Micros,
+        Schedule { begin_by, give_up_at }: Schedule,
     ) {
-        let send_by = give_up_at.min(now.saturating_add(SEND_WITHIN));
+        let send_by = give_up_at.min(begin_by).min(now.saturating_add(SEND_WITHIN));
         let expires = give_up_at.saturating_add(REPORT_GRACE);
         let lease =
             Lease { request, attempt, backend, send_by, expires, stage: Stage::Granted, revoked: false };
--- a/crates/engine/src/shell/clock.rs
+++ b/crates/engine/src/shell/clock.rs
@@ -5,7 +5,7 @@
 use tokio::time::Instant;
 
 /// Starts at the Unix time of its making and then follows the monotonic clock. The module's times count from
-/// the epoch, so that starts of backends from before this process can be told, and a step of the system's
+/// the epoch, so that they can be told beside those of others, and a step of the system's
 /// clock moves nothing.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
@@ -38,13 +38,6 @@
     pub fn instant(&self, at: Micros) -> Instant {
         self.origin + Duration::from_micros(at.saturating_sub(self.unix))
     }
-
-    /// When a backend started, from Unix milliseconds; 0 is long ago. A start in the future (another machine's
-    /// clock is ahead) is taken as now.
-    #[must_use]
-    pub fn started(&self, unix_ms: u64) -> Option<Micros> {
-        (unix_ms != 0).then(|| unix_ms.saturating_mul(1_000).min(self.now()))
-    }
 }
 
 fn micros(span: Duration) -> Micros {
--- a/crates/engine/src/shell/mod.rs
+++ b/crates/engine/src/shell/mod.rs
@@ -7,7 +7,7 @@
 pub mod clock;
 pub mod recall;
 
-use crate::engine::{Arrival, Command, Counts, Ended, Engine, Exchange, Grant, Overload, Verdict};
+use crate::engine::{Arrival, Command, Counts, Ended, Engine, Exchange, Grant, Overload, Schedule, Verdict};
 use crate::lease::{LeaseCounts, LeaseError, LeaseId};
 use clock::Clock;
 use haventrack_decision::api::{BackendId, Membership, Memory, Micros, RequestId, Settings, SettingsError};
@@ -19,17 +19,26 @@
 use tokio::sync::Notify;
 use tokio::time::{Instant, sleep_until};
 
+/// When an attempt may begin, and when it is given up, as the runtime's timers want it.
+#[derive(Clone, Copy, Debug)]
+pub struct Times {
+    /// From when on it may not begin any more.
+    pub begin_by: Option<Instant>,
+    /// When it is given up.
+    pub give_up: Instant,
+}
+
 /// What carries the engine's commands out. None of these may call the engine back before it returns.
 pub trait Transport: Sized + 'static {
     /// The types that travel.
     type Exchange: Exchange;
 
-    /// Makes an attempt on a backend and tells how it ended: given up at `give_up`, or when `recall` says so.
+    /// Makes an attempt on a backend and tells how it ended: given up as `times` say, or when `recall` says so.
     fn start(
         &self,
         backend: BackendId,
         work: <Self::Exchange as Exchange>::Work,
-        give_up: Instant,
+        times: Times,
         recall: Rc<Recall>,
     ) -> impl Future<Output = Ended<<Self::Exchange as Exchange>::Payload>> + 'static;
 
@@ -243,8 +252,8 @@
     fn carry_out(&self, engine: &Engine<T::Exchange>, command: Command<T::Exchange>) {
         let transport = &self.0.transport;
         match command {
-            Command::Start { request, attempt, backend, give_up_at, work } => {
-                self.start(request, attempt, backend, give_up_at, work);
+            Command::Start { request, attempt, backend, schedule, work } => {
+                self.start(request, attempt, backend, schedule, work);
             }
             Command::Withdraw { request, attempt } => {
                 if let Some(recall) = self.0.recalls.borrow().get(&(request, attempt)) {
@@ -266,11 +275,13 @@
         }
     }
 
-    fn start(&self, request: RequestId, attempt: u16, backend: BackendId, give_up_at: Micros, work: Work<T>) {
+    fn start(&self, request: RequestId, attempt: u16, backend: BackendId, schedule: Schedule, work: Work<T>) {
         let recall = Rc::<Recall>::default();
         self.0.recalls.borrow_mut().insert((request, attempt), Rc::clone(&recall));
-        let give_up = self.0.clock.instant(give_up_at);
-        let attempting = self.0.transport.start(backend, work, give_up, recall);
+        let instant = |at| self.0.clock.instant(at);
+        let begin_by = (schedule.begin_by < Micros::MAX).then(|| instant(schedule.begin_by));
+        let times = Times { begin_by, give_up: instant(schedule.give_up_at) };
+        let attempting = self.0.transport.start(backend, work, times, recall);
         let handle = self.clone();
         tokio::task::spawn_local(async move {
             let ended = attempting.await;
--- a/crates/engine/src/terms.rs
+++ b/crates/engine/src/terms.rs
@@ -99,6 +99,15 @@
     pub give_up_at: Micros,
 }
 
+/// When an attempt may begin, and when it ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Schedule {
+    /// From when on it may not begin any more; `Micros::MAX`: never.
+    pub begin_by: Micros,
+    /// When to give it up.
+    pub give_up_at: Micros,
+}
+
 /// What the engine wants done.
 #[derive(Debug, PartialEq)]
 pub enum Command<X: Exchange> {
@@ -110,8 +119,8 @@
         attempt: u16,
         /// Where to.
         backend: BackendId,
-        /// When to give it up.
-        give_up_at: Micros,
+        /// When it may begin, and when it ends.
+        schedule: Schedule,
         /// What to send.
         work: X::Work,
     },
--- a/crates/operations/src/bans.rs
+++ b/crates/operations/src/bans.rs
@@ -63,6 +63,14 @@
         true
     }
 
+    /// The same with other times.
+    #[must_use]
+    pub fn with_times(&self, time: impl Fn(Micros) -> Micros) -> Self {
+        let all =
+            |ids: &BTreeMap<String, Micros>| ids.iter().map(|(id, &at)| (id.clone(), time(at))).collect();
+        Self { out: all(&self.out), back: all(&self.back) }
+    }
+
     /// Whether nothing new may go to this backend.
     #[must_use]
     pub fn is_out(&self, id: &str) -> bool {
--- a/crates/operations/src/lib.rs
+++ b/crates/operations/src/lib.rs
@@ -5,6 +5,8 @@
 pub mod bans;
 pub mod call;
 pub mod console;
+pub mod machine_time;
+pub mod pending;
 pub mod snapshot;
 pub mod stand;
 pub mod store;
--- a/crates/operations/src/store.rs
+++ b/crates/operations/src/store.rs
@@ -4,6 +4,7 @@
 //! it by rename. What can't be read is set aside and said, not guessed over.
 
 use crate::bans::{Bans, Micros, TooMany};
+use crate::machine_time::MachineTime;
 use serde::{Deserialize, Serialize};
 use std::fs::{self, File, OpenOptions, TryLockError};
 use std::io::{self, Read, Write};
@@ -59,6 +60,7 @@
 pub struct Store {
     path: PathBuf,
     lock: PathBuf,
+    time: MachineTime,
 }
 
 /// The longest part of a proxy's name that stands in a file's name as it is.
@@ -95,11 +97,12 @@
 }
 
 impl Store {
-    /// The store of the proxy of this name. Nothing is read yet.
+    /// The store of the proxy of this name, whose process counts its time so. Nothing is read yet.
     #[must_use]
-    pub fn new(folder: &Path, name: &str) -> Self {
+    pub fn new(folder: &Path, name: &str, time: MachineTime) -> Self {
         let name = file_name(name);
         Self {
+            time,
             path: folder.join(format!("haventrack-{name}.bans.json")),
             lock: folder.join(format!("haventrack-{name}.bans.lock")),
         }
@@ -116,7 +119,8 @@
             Err(error) => return Err(self.io(error)),
             Ok(file) => file.take(FILE_CAP).read_to_end(&mut text).map_err(|e| self.io(e))?,
         };
-        parse(&text).map_err(|problem| StoreError::Damaged(self.path.clone(), problem))
+        let bans = parse(&text).map_err(|problem| StoreError::Damaged(self.path.clone(), problem))?;
+        Ok(bans.with_times(|at| self.time.of_process(at)))
     }
 
     /// Which state of the file there is; `None` where there is none.
@@ -150,7 +154,8 @@
             Err(error) => return Err(error),
         };
         let result = change(&mut bans)?;
-        let text = serde_json::to_vec(&Kept { version: VERSION, bans: bans.clone() });
+        let kept = bans.with_times(|at| self.time.of_machine(at));
+        let text = serde_json::to_vec(&Kept { version: VERSION, bans: kept });
         let text = text.map_err(|e| self.io(e.into()))?;
         let path = self.path.clone();
         let writing = spawn_blocking(move || {
@@ -188,13 +193,15 @@
     }
 }
 
-/// Replaces a file whole, durably.
+/// Replaces a file whole, durably. One that is whole and that the disk does not confirm takes its place all the same: other
+/// processes read it, and it is written again until the disk does.
 fn write(path: &Path, text: &[u8]) -> io::Result<()> {
     let new = path.with_extension("new");
     let mut file = File::create(&new)?;
     file.write_all(text)?;
-    file.sync_data()?;
-    fs::rename(&new, path)
+    let synced = file.sync_data();
+    fs::rename(&new, path)?;
+    synced
 }
 
 /// How long a call back is remembered: longer than any backend takes to warm up, with what lists are late.
--- a/crates/program/src/main.rs
+++ b/crates/program/src/main.rs
@@ -4,12 +4,14 @@
 use clap::{Parser, Subcommand};
 use haventrack_extproc::settings::Settings as Extproc;
 use haventrack_program::program::{self, Fronts};
-use haventrack_proxy::config::Config;
+use haventrack_proxy::config::{Config, ConfigError};
 use haventrack_proxy::log::{self, log};
+use haventrack_sockets::retry;
 use std::error::Error;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
-use std::time::Duration;
+use std::thread;
+use std::time::{Duration, Instant};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::task::LocalSet;
 
@@ -61,17 +63,33 @@
 /// How long an ending process waits for whoever reads its log.
 const LOG_WITHIN: Duration = Duration::from_millis(50);
 
+/// For how long the first calls of a process are made again where they fail for a moment.
+const FIRST_WITHIN: Duration = Duration::from_secs(3);
+const FIRST_AGAIN: Duration = Duration::from_millis(20);
+
+/// Makes one of the first calls, before there is anything to serve, until it succeeds or fails for good.
+fn first<T, E>(mut call: impl FnMut() -> Result<T, E>, is_passing: impl Fn(&E) -> bool) -> Result<T, E> {
+    let end = Instant::now() + FIRST_WITHIN;
+    loop {
+        match call() {
+            Err(error) if is_passing(&error) && Instant::now() < end => thread::sleep(FIRST_AGAIN),
+            done => return done,
+        }
+    }
+}
+
 fn serve(extproc: Option<&Path>) -> Result<(), Box<dyn Error>> {
     let mut builder = tokio::runtime::Builder::new_current_thread();
     builder.max_blocking_threads(DISK_THREADS).thread_stack_size(DISK_STACK);
-    let runtime = builder.enable_all().build()?;
+    let runtime = first(|| builder.enable_all().build(), retry::is_local)?;
     let served = LocalSet::new().block_on(&runtime, async {
         let Signals { mut stop, reload } = Signals::install()?;
         let stop = async move {
             stop.recv().await;
         };
         let extproc = extproc.map(Extproc::from_file).transpose()?;
-        let fronts = Fronts { http: Config::from_env()?, extproc };
+        let is_passing = |error: &ConfigError| matches!(error, ConfigError::Unreadable(_, error) if retry::is_of_disk(error));
+        let fronts = Fronts { http: first(Config::from_env, is_passing)?, extproc };
         program::serve(fronts, stop, Some(reload), |_, _| ()).await?;
         Ok(())
     });
--- a/crates/program/src/program.rs
+++ b/crates/program/src/program.rs
@@ -1,7 +1,8 @@
 //! One real proxy from its configuration to its end.
 
+use crate::files::Files;
 use crate::renewal::Renewal;
-use crate::staff::{Files, Sockets, Staff};
+use crate::staff::{Sockets, Staff};
 use haventrack_decision::api::{Micros, Settings, SettingsError};
 use haventrack_engine::claims::{self, Claims};
 use haventrack_engine::engine::{Bounds, Engine};
@@ -23,6 +24,7 @@
 use haventrack_proxy::stall::StallMonitor;
 use haventrack_proxy::turns::Turns;
 use haventrack_settings::renewal::RenewalError;
+use haventrack_sockets::retry;
 use std::cell::{Cell, RefCell};
 use std::future::Future;
 use std::io;
@@ -38,6 +40,8 @@
 
 /// The kernel's queue of connections that are not accepted yet.
 const BACKLOG: u32 = 1_024;
+/// For how long a listener that can't be had for a moment is asked for again.
+const LISTEN_WITHIN: Duration = Duration::from_secs(4);
 /// After SIGTERM, connections still come for a while: how long the proxy goes on at the least, and how long
 /// nobody must have connected.
 const DRAIN_LEAST: Duration = Duration::from_millis(800);
@@ -189,14 +193,16 @@
     let (files, bans) = match config.console {
         Some(_) => {
             let folder = std::env::temp_dir();
-            let opened = Files::open(&folder, &config.name, Rc::clone(&learns));
+            let opened = Files::open(&folder, &config.name, clock.now(), Rc::clone(&learns)).await;
             let (files, bans) = opened.map_err(|error| ProgramError::Files(folder, error))?;
             (Some(files), bans)
         }
         None => Default::default(),
     };
     let unheard = |error| ProgramError::Listen(config.listen, error);
-    let listener = Rc::new(listen(config.listen, config.console.is_some()).map_err(unheard)?);
+    let listens = || listen(config.listen, config.console.is_some());
+    let listener = retry::until(Instant::now() + LISTEN_WITHIN, retry::is_local, listens).await;
+    let listener = Rc::new(listener.map_err(unheard)?);
     let opened = Instant::now();
     let monitor = StallMonitor::new(opened);
     let address = listener.local_addr().map_err(unheard)?;
@@ -220,7 +226,7 @@
         _ => None,
     };
     let held = Rc::new(Cell::new(false));
-    let translator = Translator::new(clock, &config.names);
+    let translator = Translator::new(clock, &config.names, &settings.safety);
     let (discovery, addresses) = watch::channel(config.discovery);
     let asks = asked
         .then(|| (subscriptions, Turns::of(settings.me, settings.balancers, settings.safety.ask_within)));
@@ -250,7 +256,7 @@
         Staff::new(files, roster, held, handle.clone(), listener, clients, sockets)
     });
     let console = match (config.console, &staff) {
-        (Some(console), Some(staff)) => Some(open_console(console, staff)?),
+        (Some(console), Some(staff)) => Some(open_console(console, staff).await?),
         _ => None,
     };
     if let Some(console) = console {
@@ -311,9 +317,11 @@
 }
 
 /// Answers the staff's calls from now on; gives where.
-fn open_console(address: SocketAddr, staff: &Rc<Staff>) -> Result<SocketAddr, ProgramError> {
+async fn open_console(address: SocketAddr, staff: &Rc<Staff>) -> Result<SocketAddr, ProgramError> {
     let unheard = |error| ProgramError::Listen(address, error);
-    let listener = listen(address, false).map_err(unheard)?;
+    let listener =
+        retry::until(Instant::now() + LISTEN_WITHIN, retry::is_local, || listen(address, false)).await;
+    let listener = listener.map_err(unheard)?;
     let address = listener.local_addr().map_err(unheard)?;
     let answers = Rc::clone(staff);
     tokio::task::spawn_local(console::serve(listener, move |call| Rc::clone(&answers).answer(call)));
--- a/crates/program/src/renewal.rs
+++ b/crates/program/src/renewal.rs
@@ -13,8 +13,15 @@
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::signal::unix::Signal;
 use tokio::sync::watch;
+use tokio::time::{Instant, sleep};
+
+/// For how long a configuration that can't be read is tried, and how often. What discovery has counts as told 4 s after the
+/// signal.
+const READ_WITHIN: Duration = Duration::from_millis(2_500);
+const READ_AGAIN: Duration = Duration::from_millis(50);
 
 /// The present configuration, and where another one goes.
 pub struct Renewal {
@@ -73,7 +80,7 @@
         clients: Rc<Clients>,
     ) {
         while reload.recv().await.is_some() {
-            match self.renew(&clients) {
+            match self.renew_once_readable(&clients).await {
                 Ok(address) => {
                     discovery.send_if_modified(|now| std::mem::replace(now, address) != address);
                 }
@@ -82,6 +89,17 @@
         }
     }
 
+    /// A file that can't be read for a moment is read again: what it says counts from the signal on.
+    async fn renew_once_readable(&mut self, clients: &Clients) -> Result<SocketAddr, ConfigError> {
+        let end = Instant::now() + READ_WITHIN;
+        loop {
+            match self.renew(clients) {
+                Err(ConfigError::Unreadable(..)) if Instant::now() < end => sleep(READ_AGAIN).await,
+                renewed => return renewed,
+            }
+        }
+    }
+
     /// Everything is read and checked before anything changes; then all of it changes in one step.
     fn renew(&mut self, clients: &Clients) -> Result<SocketAddr, ConfigError> {
         let config = Config::again(&self.shape)?;
--- a/crates/proxy/src/backends.rs
+++ b/crates/proxy/src/backends.rs
@@ -10,6 +10,7 @@
 use crate::wire::{Wire, WireIo};
 use bytes::Bytes;
 use haventrack_decision::api::{Backend, BackendId, Micros, Outcome, Readiness};
+use haventrack_engine::shell::Times;
 use haventrack_engine::shell::recall::Recall;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::{CONTENT_TYPE, HeaderMap, HeaderName};
@@ -291,12 +292,12 @@
         });
     }
 
-    /// One attempt of a request on a backend, given up at `give_up` or when `recall` says so.
+    /// One attempt of a request on a backend, given up as `times` say or when `recall` says so.
     pub async fn attempt(
         self: Rc<Self>,
         server: Rc<Server>,
         call: Rc<Call>,
-        give_up: Instant,
+        Times { begin_by, give_up }: Times,
         recall: Rc<Recall>,
     ) -> Ended {
         // Its client may have left in the same turn.
@@ -326,7 +327,9 @@
         }
         let began = Instant::now();
         let left = give_up.saturating_duration_since(began).min(call.patience);
-        if left < Duration::from_millis(1) || call.body.is_spent() {
+        // Rule 2: while the connection came up, the window for a repeat may have ended.
+        let is_late = begin_by.is_some_and(|by| began >= by);
+        if is_late || left < Duration::from_millis(1) || call.body.is_spent() {
             self.keep(&server, conn);
             return Outcome::Moot.into();
         }
--- a/crates/proxy/src/carrier.rs
+++ b/crates/proxy/src/carrier.rs
@@ -8,12 +8,11 @@
 use haventrack_engine::lease::LeaseId;
 use haventrack_engine::outside::{Inbox, Ticket, Word};
 use haventrack_engine::shell::recall::Recall;
-use haventrack_engine::shell::{self, Transport};
+use haventrack_engine::shell::{self, Times, Transport};
 use rustc_hash::FxHashSet;
 use std::future::Future;
 use std::rc::Rc;
 use tokio::sync::{mpsc, oneshot};
-use tokio::time::Instant;
 
 /// What travels between clients and backends.
 #[derive(Debug)]
@@ -66,13 +65,13 @@
         &self,
         backend: BackendId,
         work: Rc<Call>,
-        give_up: Instant,
+        times: Times,
         recall: Rc<Recall>,
     ) -> impl Future<Output = Ended<Served>> + 'static {
         let (fleet, server) = (Rc::clone(&self.fleet), self.fleet.server(backend));
         async move {
             match server {
-                Some(server) => fleet.attempt(server, work, give_up, recall).await,
+                Some(server) => fleet.attempt(server, work, times, recall).await,
                 None => Outcome::Moot.into(),
             }
         }
--- a/crates/proxy/src/discovery.rs
+++ b/crates/proxy/src/discovery.rs
@@ -1,5 +1,6 @@
 //! Discovery: the whole list, then a watch for changes; names to numbers.
 
+mod starts;
 mod translator;
 
 pub use translator::{List, Translator};
@@ -201,7 +202,7 @@
     pub fn start_from(&mut self, known: Value) {
         let list = self.translator.list(known).unwrap_or_else(|error| {
             log(format_args!("`known`: {error}"));
-            List { revision: 0, complete: false, entries: Vec::new() }
+            List { revision: 0, complete: false, entries: Vec::new(), unreadable: Vec::new() }
         });
         self.fallback = list.entries.iter().any(|e| e.listed.backend.readiness == Readiness::Ready);
         if self.turns.is_some_and(|turns| turns.is_crowded()) && self.fallback {
@@ -315,7 +316,10 @@
         } else {
             self.tell_known();
         }
-        let entries = self.roster.borrow_mut().take(list.complete, list.entries);
+        let mut roster = self.roster.borrow_mut();
+        let mut entries = roster.take(list.complete, list.entries);
+        entries.extend(roster.drain(&list.unreadable));
+        drop(roster);
         if list.complete {
             tell_list(&self.handle, Scope::Full, &entries);
         } else if !entries.is_empty() {
--- a/crates/proxy/src/discovery/translator.rs
+++ b/crates/proxy/src/discovery/translator.rs
@@ -1,11 +1,12 @@
 //! Reads discovery's lists: its names to the module's numbers.
 
 use super::DiscoveryError;
+use super::starts::Starts;
 use crate::backends::Listed;
 use crate::log::log;
 use crate::names::Names;
 use crate::roster::Entry;
-use haventrack_decision::api::{Backend, BackendId, Readiness};
+use haventrack_decision::api::{Backend, BackendId, Micros, Readiness, Safety};
 use haventrack_engine::shell::clock::Clock;
 use rustc_hash::{FxHashMap, FxHashSet};
 use serde::Deserialize;
@@ -34,6 +35,20 @@
     up_since_ms: u64,
 }
 
+/// An entry as it came.
+struct Member {
+    /// Its name, as far as it can be read.
+    name: Option<String>,
+    read: Result<RawMember, String>,
+}
+
+impl Member {
+    fn read(member: Value) -> Self {
+        let name = member.get("id").and_then(Value::as_str).map(str::to_owned);
+        Self { name, read: serde_json::from_value(member).map_err(|e| e.to_string()) }
+    }
+}
+
 /// A list in the module's terms.
 #[derive(Debug)]
 pub struct List {
@@ -43,6 +58,8 @@
     pub complete: bool,
     /// The entries that make sense.
     pub entries: Vec<Entry>,
+    /// The names of those that do not, as far as they can be read.
+    pub unreadable: Vec<String>,
 }
 
 /// Translates discovery's names.
@@ -52,13 +69,13 @@
     kinds: FxHashMap<String, u8>,
     numbers: FxHashMap<String, BackendId>,
     taken: FxHashSet<BackendId>,
-    starts: FxHashMap<BackendId, (u64, Option<u64>)>,
+    starts: Starts,
 }
 
 impl Translator {
     /// A translator that knows no backends yet.
     #[must_use]
-    pub fn new(clock: Clock, names: &Names) -> Self {
+    pub fn new(clock: Clock, names: &Names, safety: &Safety) -> Self {
         let zones = names.zones.iter().cloned().zip(0..).collect();
         let kinds = names.kinds.iter().cloned().zip(0..=u8::MAX).collect();
         Self {
@@ -67,24 +84,30 @@
             kinds,
             numbers: FxHashMap::default(),
             taken: FxHashSet::default(),
-            starts: FxHashMap::default(),
+            starts: Starts::new(safety),
         }
     }
 
-    /// Reads a list. Entries that make no sense are logged and passed over.
+    /// Reads a list. Entries that make no sense are logged.
     ///
     /// # Errors
     /// Where the list as a whole is not what is wanted.
     pub fn list(&mut self, json: Value) -> Result<List, DiscoveryError> {
         let raw: RawList = serde_json::from_value(json).map_err(DiscoveryError::Malformed)?;
-        let entries = raw.members.into_iter().filter_map(|member| match self.member(member) {
-            Ok(listed) => Some(listed),
-            Err(problem) => {
-                log(format_args!("passing over an entry of the list: {problem}"));
-                None
+        let (mut entries, mut unreadable) = (Vec::with_capacity(raw.members.len()), Vec::new());
+        let members: Vec<_> = raw.members.into_iter().map(Member::read).collect();
+        let now = self.clock.now();
+        let newest = self.newest_start(&members);
+        for Member { name, read } in members {
+            match read.and_then(|member| self.entry(member, now, newest)) {
+                Ok(entry) => entries.push(entry),
+                Err(problem) => {
+                    log(format_args!("passing over an entry of the list: {problem}"));
+                    unreadable.extend(name);
+                }
             }
-        });
-        let list = List { revision: raw.revision, complete: raw.complete, entries: entries.collect() };
+        }
+        let list = List { revision: raw.revision, complete: raw.complete, entries, unreadable };
         self.forget_gone(&list);
         Ok(list)
     }
@@ -99,12 +122,19 @@
             let keep = |id: &BackendId| stay.contains(id) || (!list.complete && !gone.contains(id));
             self.numbers.retain(|_, id| keep(id));
             self.taken.retain(keep);
-            self.starts.retain(|id, _| keep(id));
+            self.starts.forget(self.clock.now(), |id| keep(&id));
         }
     }
 
-    fn member(&mut self, member: Value) -> Result<Entry, String> {
-        let raw: RawMember = serde_json::from_value(member).map_err(|e| e.to_string())?;
+    /// The latest of the starts that these tell for the first time.
+    fn newest_start(&mut self, members: &[Member]) -> u64 {
+        let read = members.iter().filter_map(|member| member.read.as_ref().ok());
+        let told: Vec<_> = read.map(|raw| (self.number(&raw.id), raw.up_since_ms)).collect();
+        let new = told.into_iter().filter(|&(id, told)| !self.starts.is_known(id, told));
+        new.map(|(_, told)| told).max().unwrap_or_default()
+    }
+
+    fn entry(&mut self, raw: RawMember, now: Micros, newest: u64) -> Result<Entry, String> {
         let address = raw.host_port.parse();
         let address = address.map_err(|_| format!("`{}` is no address", raw.host_port))?;
         let readiness = match raw.phase.as_str() {
@@ -118,7 +148,7 @@
         // A kind that the settings don't name can still be sent to.
         let kind = self.kinds.get(&raw.flavor).copied().unwrap_or(0);
         let id = self.number(&raw.id);
-        let started = self.started(id, raw.up_since_ms);
+        let started = self.starts.place(now, id, raw.up_since_ms, newest);
         let backend = Backend { id, zone, kind, cell: raw.cell, readiness, started };
         Ok(Entry { name: raw.id, listed: Listed { backend, address } })
     }
@@ -136,19 +166,6 @@
         self.numbers.insert(name.to_owned(), number);
         number
     }
-
-    /// When it started on this proxy's clock. The same start keeps the time first worked out: a start ahead of
-    /// the clock, which counts as now, must not look like a new one on each list.
-    fn started(&mut self, id: BackendId, unix_ms: u64) -> Option<u64> {
-        if let Some(&(told, started)) = self.starts.get(&id)
-            && told == unix_ms
-        {
-            return started;
-        }
-        let started = self.clock.started(unix_ms);
-        self.starts.insert(id, (unix_ms, started));
-        started
-    }
 }
 
 /// FNV-1a, 32 bits: stable from one build and machine to the next.
--- a/crates/proxy/src/roster.rs
+++ b/crates/proxy/src/roster.rs
@@ -68,6 +68,18 @@
         told
     }
 
+    /// Something was told of these that can't be read: nothing new goes to those that are listed until they are told again.
+    pub fn drain(&mut self, names: &[String]) -> Vec<Listed> {
+        let mut told = Vec::new();
+        for name in names {
+            if let Some(listed) = self.listed.get_mut(name) {
+                listed.backend.readiness = Readiness::Draining;
+                told.push(*listed);
+            }
+        }
+        told
+    }
+
     /// Other bans hold from now on. Gives the entries that look otherwise for that.
     pub fn govern(&mut self, bans: Bans) -> Vec<Listed> {
         let changed = self.bans.changed(&bans);
--- a/crates/rig/src/virtual_time.rs
+++ b/crates/rig/src/virtual_time.rs
@@ -382,7 +382,8 @@
     fn obey(&mut self, proxy: usize) {
         while let Some(command) = self.proxies[proxy].next_command() {
             match command {
-                Command::Start { request, attempt, backend, give_up_at, work: client } => {
+                Command::Start { request, attempt, backend, schedule, work: client } => {
+                    let give_up_at = schedule.give_up_at;
                     let which = self.attempt(proxy, client, (request, attempt), backend, give_up_at);
                     let way = self.way(which);
                     self.after(way, Event::ToBox(which));
--- a/crates/simhost/src/wire.rs
+++ b/crates/simhost/src/wire.rs
@@ -323,7 +323,7 @@
         let micros = |t: Micros| u32::try_from(t).unwrap_or(u32::MAX).to_be_bytes();
         self.source(instance);
         match action {
-            Action::Send { request, backend, give_up_at } => {
+            Action::Send { request, backend, give_up_at, .. } => {
                 self.record(64, &[&request.to_be_bytes(), &give_up_at.to_be_bytes(), &backend.to_be_bytes()]);
             }
             Action::Refuse { request, retry_after } => {
