Test: a backend that the list moves to another cell or zone, red

Need: a keyed request may be repeated only in the group that remembers its key; the list says which that is. By reading, update() in membership.rs takes zone and cell once, so that repeats after a move go by the old place. The test harness judged an earlier attempt by where its backend is now; it now judges by where it was at the attempt, which is what remembers the key.

Beside it: a length and an encoding in a head that came behind another request are seen (passes).

--- a/crates/decision/tests/common/mod.rs
+++ b/crates/decision/tests/common/mod.rs
@@ -92,6 +92,8 @@
 #[derive(Clone, Debug)]
 pub struct Attempt {
     pub backend: BackendId,
+    /// What the list said of it then.
+    at: Backend,
     pub sent_at: Micros,
     pub give_up_at: Micros,
     pub state: State,
@@ -185,7 +187,8 @@
             Effect::Unsafe => assert!(ran.is_empty(), "rule 2: an unsafe request was repeated"),
             Effect::Keyed { group, ttl } => {
                 for earlier in ran {
-                    let other = self.servers[&earlier.backend];
+                    // The group that remembers the key is the one in which the attempt was made.
+                    let other = earlier.at;
                     assert!(self.now <= earlier.sent_at + ttl, "rule 2: a repeat after the key's time");
                     assert!(match group {
                         DedupGroup::All => true,
@@ -195,7 +198,13 @@
                 }
             }
         }
-        tracked.attempts.push(Attempt { backend, sent_at: self.now, give_up_at, state: State::Out });
+        tracked.attempts.push(Attempt {
+            backend,
+            at: server,
+            sent_at: self.now,
+            give_up_at,
+            state: State::Out,
+        });
     }
 
     fn check_end(&mut self, request: RequestId, refused: bool) {
--- a/crates/decision/tests/rules.rs
+++ b/crates/decision/tests/rules.rs
@@ -169,6 +169,24 @@
     }
 }
 
+/// What remembers the key is the group in which the attempt was made, wherever the list puts that backend later.
+#[test]
+fn a_keyed_request_stays_in_the_group_of_its_first_attempt_although_the_list_moves_that_backend() {
+    for class in [3_u8, 4] {
+        let mut proxy = Proxy::new(settings(), (0..12).map(backend));
+        let first = sent_to(&proxy.request(request(1, class))).expect("there is room");
+        let Backend { zone, cell, .. } = backend(first + 1);
+        proxy.list(Membership::Delta(&[Backend { zone, cell, ..backend(first) }]));
+        let second = sent_to(&proxy.settle(1, 0, Outcome::Error)).expect("the group has room");
+        assert_eq!(first % 2, second % 2, "class {class}");
+        // And what comes now goes by where it is now.
+        let mut tries = (2..60).filter_map(|id| Some((id, sent_to(&proxy.request(request(id, class)))?)));
+        let again = tries.find(|&(_, to)| to == first).map(|(id, _)| id).expect("it serves on");
+        let repeat = sent_to(&proxy.settle(again, 0, Outcome::Error));
+        assert!(repeat.is_none_or(|to| to % 2 != first % 2), "class {class}: {repeat:?}");
+    }
+}
+
 #[test]
 fn a_drain_binds_at_once_also_for_held_and_repeated_requests() {
     let mut proxy = Proxy::new(settings(), [backend(0)]);
--- a/crates/proxy/src/lane/framing/tests.rs
+++ b/crates/proxy/src/lane/framing/tests.rs
@@ -43,6 +43,19 @@
     assert!(!framing.has_more());
 }
 
+/// Whoever goes by the length finds another request in the body, also behind a request that came before it.
+#[test]
+fn a_length_beside_an_encoding_is_seen_in_a_head_that_came_behind_another_request() {
+    let both = b"POST /lift HTTP/1.1\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n";
+    let mut framing = Framing::default();
+    framing.came(&[GET, both].concat());
+    framing.head_was_read();
+    assert!(!framing.has_length_and_encoding());
+    framing.was_answered();
+    framing.head_was_read();
+    assert!(framing.has_length_and_encoding());
+}
+
 #[test]
 fn no_more_is_kept_than_a_head_may_have() {
     let mut framing = Framing::default();
