Repeats go by the group in which the first attempt was made; the list may move a backend

Cause: update() in membership.rs took zone and cell of a known id never anew, and scope() read them from the server. Change: they are taken with each entry, and each attempt keeps those of its time.

--- a/crates/decision/src/balancer.rs
+++ b/crates/decision/src/balancer.rs
@@ -287,7 +287,8 @@
         let begin_by = self.begin_by(&self.open[slot]);
         let open = &mut self.open[slot];
         let state = AttemptState::Out;
-        open.attempts.push(Attempt { server: index, sent_at: now, rested, early, state });
+        let (zone, cell) = (self.servers[index].zone, self.servers[index].cell);
+        open.attempts.push(Attempt { server: index, zone, cell, sent_at: now, rested, early, state });
         self.servers[index].held += 1;
         let (request, backend) = (open.id, self.servers[index].id);
         out.push(Action::Send { request, backend, begin_by, give_up_at });
--- a/crates/decision/src/balancer/membership.rs
+++ b/crates/decision/src/balancer/membership.rs
@@ -85,6 +85,7 @@
         let server = &mut self.servers[index];
         server.unused_since = if server.ready { server.unused_since } else { now };
         (server.listed, server.ready) = (listed, ready);
+        (server.zone, server.cell) = (entry.zone, entry.cell);
         if server.started != entry.started {
             server.started = entry.started;
             self.restarted(now, index);
--- a/crates/decision/src/balancer/repeats.rs
+++ b/crates/decision/src/balancer/repeats.rs
@@ -32,8 +32,8 @@
             Effect::Unsafe => Scope::Nowhere,
             Effect::Keyed { ttl, .. } if now >= first.sent_at.saturating_add(ttl) => Scope::Nowhere,
             Effect::Keyed { group: DedupGroup::All, .. } => Scope::Anywhere,
-            Effect::Keyed { group: DedupGroup::Zone, .. } => Scope::Zone(self.servers[first.server].zone),
-            Effect::Keyed { group: DedupGroup::Cell, .. } => Scope::Cell(self.servers[first.server].cell),
+            Effect::Keyed { group: DedupGroup::Zone, .. } => Scope::Zone(first.zone),
+            Effect::Keyed { group: DedupGroup::Cell, .. } => Scope::Cell(first.cell),
         }
     }
 
--- a/crates/decision/src/state.rs
+++ b/crates/decision/src/state.rs
@@ -110,6 +110,9 @@
 #[derive(Clone, Copy)]
 pub(crate) struct Attempt {
     pub(crate) server: usize,
+    /// Where the server was then: that group remembers the key, wherever the list puts the server later.
+    pub(crate) zone: u16,
+    pub(crate) cell: u16,
     pub(crate) sent_at: Micros,
     /// How long its connection had rested.
     pub(crate) rested: Micros,
