Tests: two rules that may be meant, and an agent that answers at once, red

Need: clauses of the table in docs/terms-audit.md that no test covered. Seen: within 1.2 s of new settings a request of a class whose group was widened is repeated by the wider one; an agent that answers each watch at once got 12,862 calls in 2 s.

--- a/crates/program/tests/faults/lists.rs
+++ b/crates/program/tests/faults/lists.rs
@@ -84,6 +84,38 @@
     }
 }
 
+/// "It answers at once, at no cost": also a watch that nothing is new for. The proxy asks on within 200 ms, and not without
+/// a pause.
+#[test]
+fn an_agent_that_answers_every_watch_at_once_is_not_asked_without_a_pause() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let (calls, gaps) = (Arc::new(Mutex::new(Vec::new())), Duration::from_millis(200));
+    let counted = Arc::clone(&calls);
+    thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            let mut reader = BufReader::new(stream.try_clone().expect("a clone"));
+            while let Some(asked) = read_message(&mut reader) {
+                counted.lock().expect("the calls").push(asked.at);
+                let whole = !asked.first_line().contains("after=");
+                let list = json!({"revision": 1, "complete": whole, "members": []});
+                if stream.write_all(&answer("200 OK", "", list.to_string().as_bytes())).is_err() {
+                    break;
+                }
+            }
+        }
+    });
+    let discovery = Discovery::start();
+    let mut config = config("at-once", &discovery);
+    config["discovery"] = json!(address.to_string());
+    let _proxy = Proxy::start_with("at-once", config);
+    thread::sleep(Duration::from_secs(2));
+    let calls = calls.lock().expect("the calls").clone();
+    assert!(calls.len() > 8 && calls.len() < 100, "{} calls in 2 s", calls.len());
+    let longest = calls.windows(2).map(|pair| pair[1] - pair[0]).max();
+    assert!(longest.is_some_and(|gap| gap < gaps), "{longest:?}");
+}
+
 /// Nobody reads the log, and much is said: serving goes on.
 #[test]
 fn a_log_that_nobody_reads_holds_nothing_up() {
--- a/crates/proxy/src/classes.rs
+++ b/crates/proxy/src/classes.rs
@@ -135,6 +135,23 @@
 
     const KEYED: Effect = Effect::Keyed { group: DedupGroup::All, ttl: 9 };
 
+    /// Clients take up new settings 1.2 s later: until then a request may be meant under the narrower of two rules.
+    #[test]
+    fn while_clients_may_not_know_yet_the_narrower_of_two_rules_counts() {
+        let keyed = |group, ttl| Effect::Keyed { group, ttl };
+        let (cell, zone) = (keyed(DedupGroup::Cell, 9), keyed(DedupGroup::Zone, 9));
+        let cases =
+            [(cell, zone, 0), (zone, cell, 1), (keyed(DedupGroup::Cell, 5), cell, 0), (KEYED, zone, 1)];
+        for (before, now, counts) in cases {
+            let mut classes = Classes::default();
+            classes.hold(0, &settings(&[before]), std::iter::once((0, "lift")));
+            classes.hold(100, &settings(&[before, now]), std::iter::once((1, "lift")));
+            let place = |at| classes.find(at, "lift", &Method::POST, true).map(|class| class.place);
+            assert_eq!(place(100), Ok(counts), "{before:?} {now:?}");
+            assert_eq!(place(100 + STILL_SERVED), Ok(1), "{before:?} {now:?}");
+        }
+    }
+
     #[test]
     fn a_class_that_was_dropped_or_changed_is_served_as_it_was_for_a_while() {
         let mut classes = Classes::default();
