--- a/crates/proxy/src/classes.rs
+++ b/crates/proxy/src/classes.rs
@@ -1,7 +1,7 @@
 //! The classes that clients may name, and those that they could name until just now. Pure: no I/O, no clock.
 
 use crate::claim::Terms;
-use haventrack_decision::api::{Class as Decided, Effect, Micros, Settings};
+use haventrack_decision::api::{Class as Decided, DedupGroup, Effect, Micros, Settings};
 use hyper::Method;
 use rustc_hash::FxHashMap;
 
@@ -16,8 +16,8 @@
     pub place: u8,
     /// How long a client waits in all.
     pub deadline: Micros,
-    /// Whether each request has a key.
-    keyed: bool,
+    /// How it may be repeated.
+    effect: Effect,
     method: Method,
 }
 
@@ -52,16 +52,27 @@
         Some(Self {
             place: u8::try_from(place).ok()?,
             deadline: class.deadline,
-            keyed: matches!(class.effect, Effect::Keyed { .. }),
+            effect: class.effect,
             method: if class.effect == Effect::Safe { Method::GET } else { Method::POST },
         })
     }
 
+    /// How widely its requests may be repeated, the least first, and for how long.
+    fn width(&self) -> (u8, Micros) {
+        match self.effect {
+            Effect::Unsafe => (0, 0),
+            Effect::Keyed { group: DedupGroup::Cell, ttl } => (1, ttl),
+            Effect::Keyed { group: DedupGroup::Zone, ttl } => (2, ttl),
+            Effect::Keyed { group: DedupGroup::All, ttl } => (3, ttl),
+            Effect::Safe => (4, 0),
+        }
+    }
+
     fn fits(&self, method: &Method, has_key: bool) -> Result<&Self, Misfit> {
         match () {
             () if self.method != method => Err(Misfit::Method),
             // Without its key a repeat would not be dropped.
-            () if self.keyed && !has_key => Err(Misfit::NoKey),
+            () if matches!(self.effect, Effect::Keyed { .. }) && !has_key => Err(Misfit::NoKey),
             () => Ok(self),
         }
     }
@@ -103,11 +114,14 @@
     pub fn find(&self, now: Micros, name: &str, method: &Method, has_key: bool) -> Result<&Class, Misfit> {
         let entry = self.entries.get(name).ok_or(Misfit::Unknown)?;
         let before = entry.before.as_ref().filter(|(_, until)| now < *until);
+        let before = before.and_then(|(class, _)| class.fits(method, has_key).ok());
         let present = entry.now.as_ref().ok_or(Misfit::Unknown).and_then(|c| c.fits(method, has_key));
-        present.or_else(|misfit| {
-            let before = before.and_then(|(class, _)| class.fits(method, has_key).ok());
-            before.ok_or(misfit)
-        })
+        match (present, before) {
+            // Its client may not know yet: what either rule forbids is not done.
+            (Ok(present), Some(before)) if before.width() < present.width() => Ok(before),
+            (Err(_), Some(before)) => Ok(before),
+            (present, _) => present,
+        }
     }
 
     /// On what terms the requests of the class at this place are held.
@@ -120,7 +134,6 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use haventrack_decision::api::DedupGroup;
     use haventrack_settings::parse_settings;
 
     fn settings(classes: &[Effect]) -> Settings {
--- a/crates/proxy/src/discovery.rs
+++ b/crates/proxy/src/discovery.rs
@@ -48,6 +48,10 @@
 /// told, and a list that comes slowly is news all the same.
 const LIST_SILENCE: Duration = Duration::from_millis(750);
 const LIST_WITHIN: Duration = Duration::from_secs(4);
+/// A watch that nothing is new for and that was answered within this did not wait. The next one comes after a pause, well
+/// within the 200 ms in which it goes on.
+const AT_ONCE: Duration = Duration::from_millis(20);
+const PAUSE: Duration = Duration::from_millis(50);
 /// How soon a connect that failed on this machine is tried again.
 const CONNECT_AGAIN: Duration = Duration::from_millis(20);
 /// The largest list that is read, in bytes; some 25,000 entries fit in.
@@ -262,8 +266,13 @@
                     if let Some(turns) = &mut self.turns {
                         turns.answered();
                     }
+                    let says_nothing = !list.complete && list.entries.is_empty();
                     self.pass_on(list);
                     self.heard.notify_one();
+                    let took = self.handle.clock().now().saturating_sub(began);
+                    if says_nothing && Duration::from_micros(took) < AT_ONCE {
+                        sleep(PAUSE).await;
+                    }
                 }
                 Err(error) => {
                     let took = self.handle.clock().now().saturating_sub(began);
