--- a/crates/program/src/staff.rs
+++ b/crates/program/src/operators.rs
@@ -1,5 +1,5 @@
-//! What the staff on call asks of this process, and what it has to know of the others of its proxy: bans kept and followed,
-//! new connections steered, limits shared. The decisions are in `haventrack_operations` and `haventrack_proxy::roster`.
+//! What the operators on call asks of this process, and what it has to know of the others of its proxy: bans kept and followed,
+//! new connections steered, limits shared. The decisions are in `haventrack_operations` and `haventrack_proxy::backend_list`.
 
 use crate::files::Files;
 use haventrack_engine::shell::clock::Clock;
@@ -9,10 +9,10 @@
 use haventrack_operations::stand::Stand;
 use haventrack_operations::store::StoreError;
 use haventrack_operations::succession::steer;
+use haventrack_proxy::backend_list::BackendList;
 use haventrack_proxy::carrier::{Handle, Scope, tell_list};
 use haventrack_proxy::clients::Clients;
 use haventrack_proxy::log::{Failures, log};
-use haventrack_proxy::roster::Roster;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
@@ -37,11 +37,11 @@
     pub backends: usize,
 }
 
-/// The staff's side of this process.
-pub struct Staff {
+/// The operators's side of this process.
+pub struct Operators {
     files: Files,
     stand: RefCell<Stand>,
-    roster: Rc<RefCell<Roster>>,
+    backend_list: Rc<RefCell<BackendList>>,
     held: Rc<Cell<bool>>,
     handle: Handle,
     clock: Clock,
@@ -59,12 +59,12 @@
     unkept: String,
 }
 
-impl Staff {
-    /// The staff's side, before anything was asked.
+impl Operators {
+    /// The operators's side, before anything was asked.
     #[must_use]
     pub fn new(
         files: Files,
-        roster: Rc<RefCell<Roster>>,
+        backend_list: Rc<RefCell<BackendList>>,
         held: Rc<Cell<bool>>,
         handle: Handle,
         listener: Rc<TcpListener>,
@@ -74,9 +74,10 @@
         let clock = handle.clock();
         let stand = RefCell::default();
         let unkept = Failures::of("a change of bans is in force and not kept");
-        let staff = Self { files, stand, roster, held, handle, clock, listener, clients, sockets, unkept };
-        staff.look_round();
-        Rc::new(staff)
+        let operators =
+            Self { files, stand, backend_list, held, handle, clock, listener, clients, sockets, unkept };
+        operators.look_round();
+        Rc::new(operators)
     }
 
     /// Answers a call.
@@ -94,12 +95,12 @@
     }
 
     async fn exclude(self: &Rc<Self>, id: &str) -> Answer {
-        if !self.roster.borrow().knows(id) {
+        if !self.backend_list.borrow().knows(id) {
             return Answer::Failure(format!("no backend is called {id}"));
         }
         match self.change(Change::Exclude(id.to_owned(), self.clock.now())).await {
             Ok(Changed { new, unkept }) => {
-                let still = self.roster.borrow().serving();
+                let still = self.backend_list.borrow().serving();
                 let was = if new { "is" } else { "was already" };
                 Answer::Success(format!("{id} {was} out; {still} backends serve{unkept}"))
             }
@@ -108,7 +109,7 @@
     }
 
     async fn include(self: &Rc<Self>, id: &str) -> Answer {
-        if !self.roster.borrow().knows(id) {
+        if !self.backend_list.borrow().knows(id) {
             return Answer::Failure(format!("no backend is called {id}"));
         }
         match self.change(Change::Include(id.to_owned(), self.clock.now())).await {
@@ -121,12 +122,12 @@
     /// Changes the bans: in force at once, since that is owed from the call on whatever the disk does, and then kept, so that
     /// it outlives this process.
     async fn change(self: &Rc<Self>, change: Change) -> Result<Changed, TooMany> {
-        let mut bans = self.roster.borrow().bans().clone();
+        let mut bans = self.backend_list.borrow().bans().clone();
         let new = self.files.change(&mut bans, change)?;
         self.govern(bans);
         // It goes on where the caller has gone, or its second is over.
-        let staff = Rc::clone(self);
-        let kept = tokio::task::spawn_local(async move { staff.keep_pending().await });
+        let operators = Rc::clone(self);
+        let kept = tokio::task::spawn_local(async move { operators.keep_pending().await });
         let unkept = match timeout(KEPT_WITHIN, kept).await {
             Ok(Ok(Ok(()))) => String::new(),
             Ok(Ok(Err(error))) => format!("; not kept yet, and tried again: {error}"),
@@ -136,7 +137,7 @@
     }
 
     async fn keep_pending(&self) -> Result<(), StoreError> {
-        let held = self.roster.borrow().bans().clone();
+        let held = self.backend_list.borrow().bans().clone();
         let bans = self.files.keep_pending(&held, self.clock.now()).await?;
         self.govern(bans);
         Ok(())
@@ -156,11 +157,11 @@
 
     fn govern(&self, bans: Bans) {
         let out = bans.out().collect::<Vec<_>>().join(" ");
-        if self.roster.borrow().bans().changed(&bans).is_empty() {
+        if self.backend_list.borrow().bans().changed(&bans).is_empty() {
             return;
         }
         log(format_args!("out of service now: {}", if out.is_empty() { "none" } else { &out }));
-        let changed = self.roster.borrow_mut().govern(bans);
+        let changed = self.backend_list.borrow_mut().govern(bans);
         if !changed.is_empty() {
             tell_list(&self.handle, Scope::Delta, &changed);
         }
--- a/crates/program/src/program.rs
+++ b/crates/program/src/program.rs
@@ -1,8 +1,8 @@
 //! One real proxy from its configuration to its end.
 
 use crate::files::Files;
+use crate::operators::{Operators, Sockets};
 use crate::renewal::Renewal;
-use crate::staff::{Sockets, Staff};
 use haventrack_decision::api::{Micros, Settings, SettingsError};
 use haventrack_engine::claims::{self, Claims};
 use haventrack_engine::engine::{Bounds, Engine};
@@ -13,6 +13,7 @@
 use haventrack_extproc::server::{self, Running, ServerError, Subject};
 use haventrack_extproc::{desk, settings as extproc};
 use haventrack_operations::console;
+use haventrack_proxy::backend_list::BackendList;
 use haventrack_proxy::backends::Fleet;
 use haventrack_proxy::carrier::{Carrier, Handle};
 use haventrack_proxy::clients::{Clients, Completed, Phase};
@@ -20,7 +21,6 @@
 use haventrack_proxy::discovery::{Translator, Watcher};
 use haventrack_proxy::log::log;
 use haventrack_proxy::names::Names;
-use haventrack_proxy::roster::Roster;
 use haventrack_proxy::stall::StallMonitor;
 use haventrack_proxy::turns::Turns;
 use haventrack_settings::renewal::RenewalError;
@@ -117,7 +117,7 @@
     pub clients: SocketAddr,
     /// Where callers of the external processor connect.
     pub callers: Option<SocketAddr>,
-    /// Where the staff's calls come.
+    /// Where the operators's calls come.
     pub console: Option<SocketAddr>,
 }
 
@@ -230,9 +230,9 @@
     let (discovery, addresses) = watch::channel(config.discovery);
     let asks = asked
         .then(|| (subscriptions, Turns::of(settings.me, settings.balancers, settings.safety.ask_within)));
-    let roster = Rc::new(RefCell::new(Roster::new(bans)));
+    let backend_list = Rc::new(RefCell::new(BackendList::new(bans)));
     let mut watcher =
-        Watcher::new(addresses, translator, Rc::clone(&roster), handle.clone(), Rc::clone(&held), asks);
+        Watcher::new(addresses, translator, Rc::clone(&backend_list), handle.clone(), Rc::clone(&held), asks);
     watcher.start_from(config.known);
     let heard = watcher.heard();
     let renewal = Renewal::new(config.shape, settings.clone(), config.names.clone(), handle.clone(), learns)?;
@@ -251,16 +251,16 @@
         Rc::clone(&monitor),
     );
     let sockets = Sockets { clients: most, backends: config.backend_sockets };
-    let staff = files.map(|files| {
+    let operators = files.map(|files| {
         let (listener, clients) = (Rc::clone(&listener), Rc::clone(&clients));
-        Staff::new(files, roster, held, handle.clone(), listener, clients, sockets)
+        Operators::new(files, backend_list, held, handle.clone(), listener, clients, sockets)
     });
-    let console = match (config.console, &staff) {
-        (Some(console), Some(staff)) => Some(open_console(console, staff).await?),
+    let console = match (config.console, &operators) {
+        (Some(console), Some(operators)) => Some(open_console(console, operators).await?),
         _ => None,
     };
     if let Some(console) = console {
-        log(format_args!("{} answers its staff on {console}", config.name));
+        log(format_args!("{} answers operators on {console}", config.name));
     }
 
     let longest = renewal.longest();
@@ -294,8 +294,8 @@
     let served = tokio::select! {
         ended = engine => Err(ProgramError::Engine(format!("{ended:?}"))),
         () = stop => {
-            if let Some(staff) = &staff {
-                staff.drains();
+            if let Some(operators) = &operators {
+                operators.drains();
             }
             let longest = Duration::from_micros(longest.get());
             // The signal may have come at any moment of a time in which this process stood.
@@ -316,16 +316,16 @@
     served
 }
 
-/// Answers the staff's calls from now on; gives where.
-async fn open_console(address: SocketAddr, staff: &Rc<Staff>) -> Result<SocketAddr, ProgramError> {
+/// Answers the operators's calls from now on; gives where.
+async fn open_console(address: SocketAddr, operators: &Rc<Operators>) -> Result<SocketAddr, ProgramError> {
     let unheard = |error| ProgramError::Listen(address, error);
     let listener =
         retry::until(Instant::now() + LISTEN_WITHIN, retry::is_local, || listen(address, false)).await;
     let listener = listener.map_err(unheard)?;
     let address = listener.local_addr().map_err(unheard)?;
-    let answers = Rc::clone(staff);
+    let answers = Rc::clone(operators);
     tokio::task::spawn_local(console::serve(listener, move |call| Rc::clone(&answers).answer(call)));
-    tokio::task::spawn_local(Rc::clone(staff).follow());
+    tokio::task::spawn_local(Rc::clone(operators).follow());
     Ok(address)
 }
 
--- a/crates/program/tests/proxy/rig.rs
+++ b/crates/program/tests/proxy/rig.rs
@@ -400,7 +400,7 @@
     /// The same of a proxy with a console, and where that is.
     pub fn start_with_console(&self) -> (Proxy, SocketAddr) {
         let mut proxy = self.start();
-        let console = told(&mut proxy.log, "answers its staff on ");
+        let console = told(&mut proxy.log, "answers operators on ");
         (proxy, console)
     }
 }
--- a/crates/proxy/src/roster.rs
+++ b/crates/proxy/src/backend_list.rs
@@ -1,7 +1,7 @@
-//! The backends as discovery tells them, under the bans of the staff. Pure: no I/O, no clock.
+//! The backends as discovery tells them, under the bans of the operators. Pure: no I/O, no clock.
 //!
 //! A ban is laid over the list before the decisions see it: a backend that is out is listed as draining, and one that was
-//! called back as started at that moment, since staff restarts backends while they are out. So everything that holds for
+//! called back as started at that moment, since operators restarts backends while they are out. So everything that holds for
 //! draining and for cold backends holds here, and the decisions know nothing of bans.
 
 use crate::backends::Listed;
@@ -20,12 +20,12 @@
 
 /// What is listed, and what is banned.
 #[derive(Debug, Default)]
-pub struct Roster {
+pub struct BackendList {
     listed: FxHashMap<String, Listed>,
     bans: Bans,
 }
 
-impl Roster {
+impl BackendList {
     /// Nothing is listed yet, and these bans hold.
     #[must_use]
     pub fn new(bans: Bans) -> Self {
@@ -116,48 +116,51 @@
         }
     }
 
-    fn change(roster: &mut Roster, change: impl FnOnce(&mut Bans)) -> Vec<Listed> {
-        let mut bans = roster.bans().clone();
+    fn change(backend_list: &mut BackendList, change: impl FnOnce(&mut Bans)) -> Vec<Listed> {
+        let mut bans = backend_list.bans().clone();
         change(&mut bans);
-        roster.govern(bans)
+        backend_list.govern(bans)
     }
 
-    fn exclude(roster: &mut Roster, name: &str) -> Vec<Listed> {
-        change(roster, |bans| assert!(bans.exclude(name, 5).is_ok()))
+    fn exclude(backend_list: &mut BackendList, name: &str) -> Vec<Listed> {
+        change(backend_list, |bans| assert!(bans.exclude(name, 5).is_ok()))
     }
 
     #[test]
     fn a_ban_holds_whatever_the_list_says() {
-        let mut roster = Roster::default();
+        let mut backend_list = BackendList::default();
         let ready = |name| entry(name, Readiness::Ready, None);
-        roster.take(true, vec![ready("a"), ready("b")]);
-        let told = exclude(&mut roster, "a");
+        backend_list.take(true, vec![ready("a"), ready("b")]);
+        let told = exclude(&mut backend_list, "a");
         assert_eq!(told.iter().map(|l| l.backend.readiness).collect::<Vec<_>>(), [Readiness::Draining]);
-        assert!(exclude(&mut roster, "a").is_empty(), "nothing new");
-        assert_eq!(roster.serving(), 1);
+        assert!(exclude(&mut backend_list, "a").is_empty(), "nothing new");
+        assert_eq!(backend_list.serving(), 1);
         // Told as changed, in a whole list, and after it was gone.
-        assert_eq!(roster.take(false, vec![ready("a")])[0].backend.readiness, Readiness::Draining);
-        assert_eq!(roster.take(true, vec![ready("a"), ready("b")])[0].backend.readiness, Readiness::Draining);
-        let gone = roster.take(false, vec![entry("a", Readiness::Gone, None)]);
+        assert_eq!(backend_list.take(false, vec![ready("a")])[0].backend.readiness, Readiness::Draining);
+        assert_eq!(
+            backend_list.take(true, vec![ready("a"), ready("b")])[0].backend.readiness,
+            Readiness::Draining
+        );
+        let gone = backend_list.take(false, vec![entry("a", Readiness::Gone, None)]);
         assert_eq!(gone[0].backend.readiness, Readiness::Gone);
-        assert!(roster.knows("a"), "it is out and can be called back");
-        assert_eq!(roster.take(false, vec![ready("a")])[0].backend.readiness, Readiness::Draining);
-        assert!(!roster.knows("c"));
+        assert!(backend_list.knows("a"), "it is out and can be called back");
+        assert_eq!(backend_list.take(false, vec![ready("a")])[0].backend.readiness, Readiness::Draining);
+        assert!(!backend_list.knows("c"));
     }
 
     #[test]
     fn a_backend_that_is_called_back_is_cold() {
-        let mut roster = Roster::default();
-        roster.take(true, vec![entry("a", Readiness::Ready, Some(1_000))]);
-        exclude(&mut roster, "a");
-        let told = change(&mut roster, |bans| assert!(bans.include("a", 9_000)));
+        let mut backend_list = BackendList::default();
+        backend_list.take(true, vec![entry("a", Readiness::Ready, Some(1_000))]);
+        exclude(&mut backend_list, "a");
+        let told = change(&mut backend_list, |bans| assert!(bans.include("a", 9_000)));
         assert_eq!((told[0].backend.readiness, told[0].backend.started), (Readiness::Ready, Some(9_000)));
         // The list tells the restart within the ban late: that is not a further one.
-        let late = roster.take(false, vec![entry("a", Readiness::Ready, Some(7_000))]);
+        let late = backend_list.take(false, vec![entry("a", Readiness::Ready, Some(7_000))]);
         assert_eq!(late[0].backend.started, Some(9_000));
-        let again = roster.take(false, vec![entry("a", Readiness::Ready, Some(12_000))]);
+        let again = backend_list.take(false, vec![entry("a", Readiness::Ready, Some(12_000))]);
         assert_eq!(again[0].backend.started, Some(12_000));
-        let leaves = roster.take(false, vec![entry("a", Readiness::Draining, Some(12_000))]);
+        let leaves = backend_list.take(false, vec![entry("a", Readiness::Draining, Some(12_000))]);
         assert_eq!(leaves[0].backend.readiness, Readiness::Draining, "a call back does not undo the list");
     }
 
@@ -165,26 +168,26 @@
         /// In whatever order lists and calls come, nothing that is out is ever told as ready.
         #[test]
         fn nothing_that_is_out_is_told_as_ready(steps in proptest::collection::vec((0_u8..4, 0_u8..4, 0_u8..3), 0..60)) {
-            let mut roster = Roster::default();
+            let mut backend_list = BackendList::default();
             let mut told = FxHashMap::default();
             for (step, name, phase) in steps {
                 let name = ["a", "b", "c", "d"][usize::from(name)];
                 let phase = [Readiness::Ready, Readiness::Draining, Readiness::Gone][usize::from(phase)];
                 let news = match step {
-                    0 => exclude(&mut roster, name),
-                    1 => change(&mut roster, |bans| _ = bans.include(name, 6)),
-                    2 => roster.take(false, vec![entry(name, phase, None)]),
+                    0 => exclude(&mut backend_list, name),
+                    1 => change(&mut backend_list, |bans| _ = bans.include(name, 6)),
+                    2 => backend_list.take(false, vec![entry(name, phase, None)]),
                     _ => {
                         told.clear();
-                        roster.take(true, vec![entry(name, phase, None)])
+                        backend_list.take(true, vec![entry(name, phase, None)])
                     }
                 };
                 told.extend(news.iter().map(|l| (l.backend.id, l.backend.readiness)));
                 for name in ["a", "b", "c", "d"] {
                     let seen = told.get(&entry(name, phase, None).listed.backend.id);
-                    if roster.bans().is_out(name) {
+                    if backend_list.bans().is_out(name) {
                         prop_assert_ne!(seen, Some(&Readiness::Ready));
-                    } else if roster.listed.get(name).is_some_and(|l| l.backend.readiness == Readiness::Ready) {
+                    } else if backend_list.listed.get(name).is_some_and(|l| l.backend.readiness == Readiness::Ready) {
                         prop_assert_eq!(seen, Some(&Readiness::Ready));
                     }
                 }
--- a/crates/proxy/src/backends.rs
+++ b/crates/proxy/src/backends.rs
@@ -428,7 +428,8 @@
         let target = Uri::from_static(if deep { "/metrics/load" } else { "/alive" });
         let body = Payload::Whole(Bytes::new());
         let headers = HeaderMap::new();
-        let call = Call { method: Method::GET, target, headers, body, patience: PROBE_TIMEOUT, asker: None };
+        let call =
+            Call { method: Method::GET, target, headers, body, patience: PROBE_TIMEOUT, requester: None };
         let request = request(&call, server.address.get(), PROBE_TIMEOUT);
         match timeout_at(until, exchange(&mut conn.sender, request)).await {
             Err(_) => Outcome::Timeout.into(),
--- a/crates/proxy/src/body.rs
+++ b/crates/proxy/src/body.rs
@@ -1,7 +1,7 @@
 //! Bodies on their way through: kept whole where they are small, passed on as they come where they are not.
 
 use crate::bounds::BODY_MOST;
-use crate::lane::Lane;
+use crate::connection::ClientConnection;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
@@ -336,20 +336,20 @@
 /// An answer's body that tells its connection when it is through.
 pub struct Tracked {
     content: Content,
-    lane: Rc<Lane>,
+    connection: Rc<ClientConnection>,
 }
 
 impl Tracked {
     /// The answer to the request that is open on this connection.
     #[must_use]
-    pub fn new(content: Content, lane: Rc<Lane>) -> Self {
-        Self { content, lane }
+    pub fn new(content: Content, connection: Rc<ClientConnection>) -> Self {
+        Self { content, connection }
     }
 }
 
 impl Drop for Tracked {
     fn drop(&mut self) {
-        self.lane.answered(Instant::now());
+        self.connection.answered(Instant::now());
     }
 }
 
--- a/crates/proxy/src/clients.rs
+++ b/crates/proxy/src/clients.rs
@@ -12,8 +12,8 @@
 use crate::carrier::{Handle, Reply};
 use crate::claim::{Claim, Taken};
 use crate::classes::Classes;
+use crate::connection::{ClientConnection, ClientStream, Doing, Requester, Spared, is_quiet};
 use crate::exchange::{Call, Payload};
-use crate::lane::{Asker, Doing, Lane, LaneIo, Spared, is_quiet};
 use crate::log::Failures;
 use crate::names::Names;
 use crate::stall::StallMonitor;
@@ -47,7 +47,7 @@
 const LOOK_EVERY: Duration = Duration::from_millis(250);
 const LOOK_AT_END: Duration = Duration::from_millis(25);
 /// How long the one that was asked to make room may take before the next is asked.
-const WAY: Duration = Duration::from_millis(5);
+const ROOM_WAIT: Duration = Duration::from_millis(5);
 /// The part of what large bodies may hold that a single one may.
 const OF_LARGE: usize = 4;
 /// When a client that met a bound of this proxy may try again, microseconds.
@@ -88,7 +88,7 @@
     open: Cell<usize>,
     freed: Notify,
     /// Those that are open.
-    lanes: RefCell<Slab<Rc<Lane>>>,
+    connections: RefCell<Slab<Rc<ClientConnection>>>,
     /// What large bodies may hold, and how much of it a single one may.
     large: Large,
     large_most: usize,
@@ -129,7 +129,7 @@
             most: Cell::new(most),
             open: Cell::new(0),
             freed: Notify::new(),
-            lanes: RefCell::default(),
+            connections: RefCell::default(),
             large: Large::new(large_bodies),
             large_most: large_bodies / OF_LARGE,
             accepted_at: Cell::new(Instant::now()),
@@ -176,8 +176,8 @@
             // Beyond the cap clients wait in the kernel's queue instead of taking the backends' descriptors. Those
             // that say nothing would hold those up for long: they make room.
             while self.open.get() >= self.most.get() {
-                self.ask_for_way(Spared::Heading);
-                let _ = timeout(WAY, self.freed.notified()).await;
+                self.make_room(Spared::Heading);
+                let _ = timeout(ROOM_WAIT, self.freed.notified()).await;
             }
             let accepted = std::future::poll_fn(|cx| {
                 let polled = listener.poll_accept(cx);
@@ -193,7 +193,7 @@
                     self.accept_failures.note(&error);
                     if retry::is_exhausted(&error) {
                         // The system lacks something for a moment: nobody who has just come makes room for that.
-                        self.ask_for_way(Spared::Overdue);
+                        self.make_room(Spared::Overdue);
                     }
                     let _ = timeout(ACCEPT_BACKOFF, self.freed.notified()).await;
                 }
@@ -235,22 +235,23 @@
     }
 
     /// Asks the connection that can best be spared to close, of those that can be spared so well.
-    fn ask_for_way(&self, most: Spared) {
+    fn make_room(&self, most: Spared) {
         let now = Instant::now();
-        let lanes = self.lanes.borrow();
-        let spare = lanes.iter().filter_map(|(_, lane)| Some((lane.gives_way(now)?, lane)));
+        let connections = self.connections.borrow();
+        let spare =
+            connections.iter().filter_map(|(_, connection)| Some((connection.spare_rank(now)?, connection)));
         let spare = spare.filter(|((spared, _), _)| *spared <= most);
-        if let Some((_, lane)) = spare.min_by_key(|(turn, _)| *turn) {
-            lane.closes.notify_one();
+        if let Some((_, connection)) = spare.min_by_key(|(turn, _)| *turn) {
+            connection.closes.notify_one();
         }
     }
 
     async fn connection(self: Rc<Self>, stream: TcpStream, waited_since: Option<Instant>) {
         let _ = stream.set_nodelay(true);
-        let lane = Lane::new(Instant::now(), Rc::clone(&self.monitor), waited_since);
-        let place = self.lanes.borrow_mut().insert(Rc::clone(&lane));
+        let connection = ClientConnection::new(Instant::now(), Rc::clone(&self.monitor), waited_since);
+        let place = self.connections.borrow_mut().insert(Rc::clone(&connection));
         let stream = Rc::new(RefCell::new(stream));
-        let end = self.converse(&stream, &lane).await;
+        let end = self.converse(&stream, &connection).await;
         if let Some(stream) = Rc::into_inner(stream) {
             match end {
                 End::Answered => linger(stream.into_inner()).await,
@@ -259,30 +260,34 @@
                 End::Closed => {}
             }
         }
-        self.lanes.borrow_mut().remove(place);
+        self.connections.borrow_mut().remove(place);
         self.open.set(self.open.get() - 1);
         self.freed.notify_waiters();
     }
 
     /// Answers the requests of a connection, one after another, and tells how it has to end.
-    async fn converse(self: &Rc<Self>, stream: &Rc<RefCell<TcpStream>>, lane: &Rc<Lane>) -> End {
-        let (clients, own, socket) = (Rc::clone(self), Rc::clone(lane), Rc::clone(stream));
+    async fn converse(
+        self: &Rc<Self>,
+        stream: &Rc<RefCell<TcpStream>>,
+        connection: &Rc<ClientConnection>,
+    ) -> End {
+        let (clients, own, socket) = (Rc::clone(self), Rc::clone(connection), Rc::clone(stream));
         let service = service_fn(move |request| -> Pin<Box<dyn Future<Output = _>>> {
-            let (clients, lane, socket) = (Rc::clone(&clients), Rc::clone(&own), Rc::clone(&socket));
-            lane.asks(Instant::now());
+            let (clients, connection, socket) = (Rc::clone(&clients), Rc::clone(&own), Rc::clone(&socket));
+            connection.asks(Instant::now());
             Box::pin(async move {
-                let response = clients.respond(request, &lane, &socket).await;
-                Ok::<_, Infallible>(response.map(|content| Tracked::new(content, lane)))
+                let response = clients.respond(request, &connection, &socket).await;
+                Ok::<_, Infallible>(response.map(|content| Tracked::new(content, connection)))
             })
         });
-        let io = TokioIo::new(LaneIo::new(Rc::clone(stream), Rc::clone(lane)));
+        let io = TokioIo::new(ClientStream::new(Rc::clone(stream), Rc::clone(connection)));
         let mut http = http1::Builder::new();
-        // A client that ends its sending has left, but its open request has an answer all the same: the lane tells.
+        // A client that ends its sending has left, but its open request has an answer all the same: the connection tells.
         let mut conn = http.max_buf_size(REQUEST_HEAD_CAP).half_close(true).serve_connection(io, service);
         let mut converse = |cx: &mut Context<'_>| {
             let polled = conn.poll_without_shutdown(cx);
             if polled.is_pending() {
-                lane.listen(&stream.borrow(), cx);
+                connection.listen(&stream.borrow(), cx);
             }
             polled
         };
@@ -290,7 +295,7 @@
         loop {
             let closing = *phase.borrow_and_update() == Phase::Closing;
             // Bytes that wait unread are a request that would be lost by a close.
-            let is_quiet = || lane.is_quiet(&stream.borrow());
+            let is_quiet = || connection.is_quiet(&stream.borrow());
             tokio::select! {
                 biased;
                 ended = std::future::poll_fn(&mut converse) => return match ended {
@@ -301,18 +306,18 @@
                     Err(_) => End::Answered,
                 },
                 Ok(()) = phase.changed() => {}
-                () = lane.closes.notified() => {
-                    if lane.may_close() && is_quiet() {
+                () = connection.closes.notified() => {
+                    if connection.may_close() && is_quiet() {
                         return End::Closed;
                     }
                 }
                 () = sleep(if closing { LOOK_AT_END } else { LOOK_EVERY }) => {
                     let now = Instant::now();
-                    lane.look_behind(&stream.borrow());
-                    match lane.doing() {
-                        Doing::Asking if lane.is_over(now) => return End::Answered,
-                        Doing::Heading if lane.is_over(now) && is_quiet() => return End::Answered,
-                        Doing::Resting if (lane.is_over(now) || (closing && lane.can_end(now))) && is_quiet() => {
+                    connection.look_behind(&stream.borrow());
+                    match connection.doing() {
+                        Doing::Asking if connection.is_over(now) => return End::Answered,
+                        Doing::Heading if connection.is_over(now) && is_quiet() => return End::Answered,
+                        Doing::Resting if (connection.is_over(now) || (closing && connection.can_end(now))) && is_quiet() => {
                             return End::Unasked;
                         }
                         _ => {}
@@ -325,22 +330,22 @@
     async fn respond(
         &self,
         request: Request<Incoming>,
-        lane: &Rc<Lane>,
+        connection: &Rc<ClientConnection>,
         stream: &Rc<RefCell<TcpStream>>,
     ) -> Response<Content> {
         let mut response = if request.uri().path() == "/up" {
             self.up()
         } else {
-            let answered = match self.inbound(request, lane, Asker::new(lane, stream)).await {
+            let answered = match self.inbound(request, connection, Requester::new(connection, stream)).await {
                 Ok((arrival, id)) => {
                     // It may have written, and left, while it stood in the kernel's queue or this process stood.
                     match &arrival.conduct {
                         Conduct::Carried(call) if matches!(call.body, Payload::Passed(_)) => {}
-                        _ => lane.is_whole(),
+                        _ => connection.is_whole(),
                     }
-                    lane.look_ahead(&stream.borrow());
-                    lane.look_behind(&stream.borrow());
-                    self.ask(arrival, id, lane).await
+                    connection.look_ahead(&stream.borrow());
+                    connection.look_behind(&stream.borrow());
+                    self.ask(arrival, id, connection).await
                 }
                 Err(rejected) => Err(rejected),
             };
@@ -357,7 +362,7 @@
         // Close to the cap, connections are given back after each answer, but for those on which more has come: a close
         // would leave that without an answer. Whoever has left asks nothing more.
         let gives_back = *self.phase.borrow() != Phase::Running || self.open.get() * 8 >= self.most.get() * 7;
-        if lane.has_left() || (gives_back && !lane.has_more(&stream.borrow())) {
+        if connection.has_left() || (gives_back && !connection.has_more(&stream.borrow())) {
             close(&mut response);
         }
         response
@@ -375,10 +380,10 @@
         &self,
         arrival: Arrival<Rc<Call>>,
         id: HeaderValue,
-        lane: &Lane,
+        connection: &ClientConnection,
     ) -> Result<Response<Content>, Rejected> {
         // Nothing of it has run.
-        if lane.has_left() {
+        if connection.has_left() {
             return Ok(refusal(0));
         }
         // Rule 2: passed on, a second request of the same id would be a second copy of the first.
@@ -407,7 +412,7 @@
             biased;
             answer = answer => answer,
             // Its guard tells the engine. Where only the sending has ended, there is a final answer all the same.
-            () = lane.left() => return Ok(failure()),
+            () = connection.left() => return Ok(failure()),
         };
         guard.answered();
         if let Some(claim) = claim {
--- a/crates/proxy/src/clients/inbound.rs
+++ b/crates/proxy/src/clients/inbound.rs
@@ -5,8 +5,8 @@
 use crate::body::{Reserved, Upload, exact_size, next_piece};
 use crate::bounds::{BODY_CAP, BODY_MOST};
 use crate::classes::Misfit;
+use crate::connection::{ClientConnection, Requester};
 use crate::exchange::{Call, Payload, join};
-use crate::lane::{Asker, Lane};
 use crate::pace;
 use bytes::Bytes;
 use haventrack_decision::api::Micros;
@@ -37,14 +37,14 @@
     pub(super) async fn inbound(
         &self,
         request: Request<Incoming>,
-        lane: &Lane,
-        asker: Asker,
+        connection: &ClientConnection,
+        requester: Requester,
     ) -> Result<(Arrival<Rc<Call>>, HeaderValue), Rejected> {
         let (head, body) = request.into_parts();
         let bad = |why| Rejected(StatusCode::BAD_REQUEST, why);
         let text = |name| head.headers.get(name).and_then(|v: &HeaderValue| v.to_str().ok());
         // Rule 2: whoever goes by the length may find a further request in the body.
-        if head.headers.contains_key(header::TRANSFER_ENCODING) && lane.has_length_and_encoding() {
+        if head.headers.contains_key(header::TRANSFER_ENCODING) && connection.has_length_and_encoding() {
             return Err(bad("Content-Length beside Transfer-Encoding\n"));
         }
         if body.size_hint().lower() > BODY_MOST {
@@ -84,7 +84,7 @@
         let length = exact_size(&body, &head.headers);
         let body = self.gather(body, length).await?;
         // The time of a request counts from its last byte. One that is passed on as it comes has not ended yet.
-        let arrived = self.clock.at(lane.heard_at());
+        let arrived = self.clock.at(connection.heard_at());
         let headers = forwarded(head.headers);
         let target = origin_form(head.uri).ok_or(bad("the target makes no sense\n"))?;
         let own = Duration::from_micros(patience.saturating_sub(ANSWER_MARGIN.min(patience / 2)));
@@ -92,8 +92,14 @@
             Payload::Whole(_) => patience,
             Payload::Passed(_) => patience + micros(pace::time_for(length.unwrap_or(BODY_MOST))),
         };
-        let call =
-            Rc::new(Call { method: head.method, target, headers, body, patience: own, asker: Some(asker) });
+        let call = Rc::new(Call {
+            method: head.method,
+            target,
+            headers,
+            body,
+            patience: own,
+            requester: Some(requester),
+        });
         let conduct = Conduct::Carried(call);
         Ok((Arrival { class, tenant, key, arrived, patience, work, repeat, conduct }, id))
     }
--- a/crates/proxy/src/config.rs
+++ b/crates/proxy/src/config.rs
@@ -61,7 +61,7 @@
     pub listen: SocketAddr,
     /// Where discovery listens.
     pub discovery: SocketAddr,
-    /// Where the staff's calls come, if anywhere. Only a proxy with a console is replaced while it serves.
+    /// Where the operators's calls come, if anywhere. Only a proxy with a console is replaced while it serves.
     pub console: Option<SocketAddr>,
     /// For random numbers.
     pub seed: u64,
--- a/crates/proxy/src/lane.rs
+++ b/crates/proxy/src/connection.rs
@@ -69,7 +69,7 @@
 
 /// What is known of a client's connection.
 #[derive(Debug)]
-pub struct Lane {
+pub struct ClientConnection {
     doing: Cell<Doing>,
     /// Since when it is doing that.
     since: Cell<Instant>,
@@ -97,7 +97,7 @@
     pub closes: Notify,
 }
 
-impl Lane {
+impl ClientConnection {
     /// A connection that has just come; `waited_since`: since when it may have stood with bytes on it.
     #[must_use]
     pub fn new(now: Instant, monitor: Rc<StallMonitor>, waited_since: Option<Instant>) -> Rc<Self> {
@@ -262,7 +262,7 @@
     /// any client is promised, then those that have only just come, and then other heads; among those the eldest. A
     /// request that is open never gives way.
     #[must_use]
-    pub fn gives_way(&self, now: Instant) -> Option<(Spared, Instant)> {
+    pub fn spare_rank(&self, now: Instant) -> Option<(Spared, Instant)> {
         let since = self.since.get();
         let age = now.saturating_duration_since(since);
         let turn = match self.doing.get() {
@@ -316,70 +316,72 @@
 
 /// The client of an open request, as its connection shows it. It does not keep the connection.
 #[derive(Debug)]
-pub struct Asker {
-    lane: Rc<Lane>,
+pub struct Requester {
+    connection: Rc<ClientConnection>,
     stream: Weak<RefCell<TcpStream>>,
 }
 
-impl Asker {
+impl Requester {
     /// The client on this connection.
     #[must_use]
-    pub fn new(lane: &Rc<Lane>, stream: &Rc<RefCell<TcpStream>>) -> Self {
-        Self { lane: Rc::clone(lane), stream: Rc::downgrade(stream) }
+    pub fn new(connection: &Rc<ClientConnection>, stream: &Rc<RefCell<TcpStream>>) -> Self {
+        Self { connection: Rc::clone(connection), stream: Rc::downgrade(stream) }
     }
 
     /// Whether the client has left by now. The runtime may not have heard yet what the kernel knows: after a process stood,
     /// timers are told first, and a connection that has come up is used in the turn in which the close is heard.
     pub async fn has_left(&self) -> bool {
-        let lane = &self.lane;
-        if lane.has_left() || lane.looked.get().is_some_and(|at| at.elapsed() < LOOK_HOLDS) {
-            return lane.has_left();
+        let connection = &self.connection;
+        if connection.has_left() || connection.looked.get().is_some_and(|at| at.elapsed() < LOOK_HOLDS) {
+            return connection.has_left();
         }
         match self.stream.upgrade() {
             None => return true,
-            Some(stream) => lane.look_ahead(&stream.borrow()),
+            Some(stream) => connection.look_ahead(&stream.borrow()),
         }
-        if !lane.listens() {
+        if !connection.listens() {
             // Only the runtime is told of an end behind unread bytes: it asks the kernel before this task has its turn again.
             tokio::task::yield_now().await;
             match self.stream.upgrade() {
                 None => return true,
-                Some(stream) => lane.look_behind(&stream.borrow()),
+                Some(stream) => connection.look_behind(&stream.borrow()),
             }
-            lane.looked.set(Some(Instant::now()));
+            connection.looked.set(Some(Instant::now()));
         }
-        lane.has_left()
+        connection.has_left()
     }
 }
 
-/// A client's socket that tells its lane what passes.
-pub struct LaneIo {
+/// A client's socket that tells its connection what passes.
+pub struct ClientStream {
     stream: Rc<RefCell<TcpStream>>,
-    lane: Rc<Lane>,
+    connection: Rc<ClientConnection>,
 }
 
-impl LaneIo {
-    /// The socket of this lane.
+impl ClientStream {
+    /// The socket of this connection.
     #[must_use]
-    pub fn new(stream: Rc<RefCell<TcpStream>>, lane: Rc<Lane>) -> Self {
-        Self { stream, lane }
+    pub fn new(stream: Rc<RefCell<TcpStream>>, connection: Rc<ClientConnection>) -> Self {
+        Self { stream, connection }
     }
 
     fn write(&self, poll: impl FnOnce(&TcpStream) -> Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
         let polled = poll(&self.stream.borrow());
         match polled {
-            Poll::Pending if self.lane.stuck.get().is_none() => self.lane.stuck.set(Some(Instant::now())),
+            Poll::Pending if self.connection.stuck.get().is_none() => {
+                self.connection.stuck.set(Some(Instant::now()))
+            }
             Poll::Pending => {}
-            Poll::Ready(_) => self.lane.stuck.set(None),
+            Poll::Ready(_) => self.connection.stuck.set(None),
         }
         polled
     }
 }
 
-impl AsyncRead for LaneIo {
+impl AsyncRead for ClientStream {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
-        let ahead = self.lane.ahead.borrow_mut().take(buf.remaining());
+        let ahead = self.connection.ahead.borrow_mut().take(buf.remaining());
         let came = match ahead {
             Some((bytes, came)) => {
                 buf.put_slice(&bytes);
@@ -387,18 +389,18 @@
             }
             None => {
                 ready!(haventrack_sockets::poll_read(&self.stream.borrow(), cx, buf))?;
-                self.lane.came(Instant::now())
+                self.connection.came(Instant::now())
             }
         };
         let bytes = &buf.filled()[before..];
         if !bytes.is_empty() {
-            self.lane.heard(bytes, Instant::now(), came);
+            self.connection.heard(bytes, Instant::now(), came);
         }
         Poll::Ready(Ok(()))
     }
 }
 
-impl AsyncWrite for LaneIo {
+impl AsyncWrite for ClientStream {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
         self.write(|stream| haventrack_sockets::poll_write(stream, cx, buf))
     }
--- a/crates/proxy/src/discovery.rs
+++ b/crates/proxy/src/discovery.rs
@@ -5,9 +5,9 @@
 
 pub use translator::{List, Translator};
 
+use crate::backend_list::{BackendList, Entry};
 use crate::carrier::{Handle, Scope, tell_list};
 use crate::log::log;
-use crate::roster::{Entry, Roster};
 use crate::turns::{Failure, OPENING_LIMIT, OPENING_WAIT, Turns, WATCH_SLACK};
 use bytes::{Bytes, BytesMut};
 use haventrack_decision::api::{Micros, Readiness};
@@ -130,7 +130,7 @@
     /// Where discovery is, which a new configuration may change while the proxy runs.
     addresses: watch::Receiver<SocketAddr>,
     translator: Translator,
-    roster: Rc<RefCell<Roster>>,
+    backend_list: Rc<RefCell<BackendList>>,
     handle: Handle,
     /// Set once a list is held.
     held: Rc<Cell<bool>>,
@@ -166,7 +166,7 @@
     pub fn new(
         addresses: watch::Receiver<SocketAddr>,
         translator: Translator,
-        roster: Rc<RefCell<Roster>>,
+        backend_list: Rc<RefCell<BackendList>>,
         handle: Handle,
         held: Rc<Cell<bool>>,
         asked: Option<(mpsc::UnboundedReceiver<()>, Turns)>,
@@ -175,7 +175,7 @@
         Self {
             addresses,
             translator,
-            roster,
+            backend_list,
             handle,
             held,
             asked,
@@ -222,7 +222,7 @@
 
     fn tell_known(&mut self) {
         if let Some(known) = self.known.take() {
-            let entries = self.roster.borrow_mut().take(true, known);
+            let entries = self.backend_list.borrow_mut().take(true, known);
             tell_list(&self.handle, Scope::Cached, &entries);
         }
     }
@@ -325,10 +325,10 @@
         } else {
             self.tell_known();
         }
-        let mut roster = self.roster.borrow_mut();
-        let mut entries = roster.take(list.complete, list.entries);
-        entries.extend(roster.drain(&list.unreadable));
-        drop(roster);
+        let mut backend_list = self.backend_list.borrow_mut();
+        let mut entries = backend_list.take(list.complete, list.entries);
+        entries.extend(backend_list.drain(&list.unreadable));
+        drop(backend_list);
         if list.complete {
             tell_list(&self.handle, Scope::Full, &entries);
         } else if !entries.is_empty() {
--- a/crates/proxy/src/discovery/translator.rs
+++ b/crates/proxy/src/discovery/translator.rs
@@ -2,10 +2,10 @@
 
 use super::DiscoveryError;
 use super::starts::Starts;
+use crate::backend_list::Entry;
 use crate::backends::Listed;
 use crate::log::log;
 use crate::names::Names;
-use crate::roster::Entry;
 use haventrack_decision::api::{Backend, BackendId, Micros, Readiness, Safety};
 use haventrack_engine::shell::clock::Clock;
 use rustc_hash::{FxHashMap, FxHashSet};
--- a/crates/proxy/src/exchange.rs
+++ b/crates/proxy/src/exchange.rs
@@ -2,7 +2,7 @@
 
 use crate::body::{Outgoing, Upload, exact_size, next_piece};
 use crate::bounds::{BODY_CAP, BODY_MOST};
-use crate::lane::Asker;
+use crate::connection::Requester;
 use bytes::{Bytes, BytesMut};
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::SendRequest;
@@ -59,14 +59,14 @@
     /// How long the client waits from the last byte of its request on.
     pub patience: Duration,
     /// Whoever asked, where it is a client; a probe has none.
-    pub asker: Option<Asker>,
+    pub requester: Option<Requester>,
 }
 
 impl Call {
     /// Whether nobody waits for the answer any more. Asked right before an attempt begins.
     pub async fn is_forsaken(&self) -> bool {
-        match &self.asker {
-            Some(asker) => asker.has_left().await,
+        match &self.requester {
+            Some(requester) => requester.has_left().await,
             None => false,
         }
     }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -1,6 +1,7 @@
 //! The proxy on real sockets. It carries out what the [engine](haventrack_engine::engine) decides and
 //! reports what came of it; it never picks a backend, retries, holds or refuses by itself.
 
+pub mod backend_list;
 pub mod backends;
 pub mod body;
 pub mod bounds;
@@ -9,13 +10,12 @@
 pub mod classes;
 pub mod clients;
 pub mod config;
+pub mod connection;
 pub mod discovery;
 pub mod exchange;
-pub mod lane;
 pub mod log;
 pub mod names;
 pub mod pace;
-pub mod roster;
 pub mod stall;
 pub mod turns;
 pub mod wire;
