--- a/crates/decision/src/balancer/limits.rs
+++ b/crates/decision/src/balancer/limits.rs
@@ -55,8 +55,8 @@
         self.latencies[class * kinds..(class + 1) * kinds].iter().map(|l| l.mean).sum::<f64>() / kinds as f64
     }
 
-    /// The mean latency of the requests as they come, over all classes and kinds of machines; of what is not known yet, the
-    /// first guess counts as one sample.
+    /// The mean latency of the requests as they come, over all classes and kinds of machines; of what is not
+    /// known yet, the first guess counts as one sample.
     pub(super) fn mean_of_all(&self) -> f64 {
         let weight = |latency: &Latency| f64::from(latency.count) + 1.0;
         let sum = self.latencies.iter().map(|latency| weight(latency) * latency.mean).sum::<f64>();
--- a/crates/decision/src/balancer/repeats.rs
+++ b/crates/decision/src/balancer/repeats.rs
@@ -37,8 +37,8 @@
         }
     }
 
-    /// Rule 2: from when on a further attempt may not begin any more. Its connection may come up after the window in which
-    /// its backends remember the key.
+    /// Rule 2: from when on a further attempt may not begin any more. Its connection may come up after the
+    /// window in which its backends remember the key.
     pub(super) fn begin_by(&self, open: &Open) -> Micros {
         let first = open.attempts.iter().find(|a| a.state != AttemptState::NeverRan);
         match (first, self.settings.classes[open.class].effect) {
