Use the new address of a backend that restarts elsewhere in one update

Cause: BackendPool::update stored start and address inside one condition; || skipped the address where the start differed.

--- a/crates/http-proxy/src/backend_pool.rs
+++ b/crates/http-proxy/src/backend_pool.rs
@@ -140,9 +140,10 @@
         }
         let backend = backends.entry(id).or_insert_with(|| PooledBackend::new(address, started_at));
         backend.is_ready.set(readiness == Readiness::Ready);
+        let has_restarted = backend.started_at.replace(started_at) != started_at;
+        let has_moved = backend.address.replace(address) != address;
         // The connections of the old process are dead, or will end in a reset.
-        if backend.started_at.replace(started_at) != started_at || backend.address.replace(address) != address
-        {
+        if has_restarted || has_moved {
             backend.end_incarnation();
         }
     }
--- a/crates/proxy-server/tests/proxy/discovery.rs
+++ b/crates/proxy-server/tests/proxy/discovery.rs
@@ -3,7 +3,11 @@
 use crate::support::*;
 use std::io::Read;
 use std::net::TcpListener;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::channel;
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
 
 #[test]
 fn sends_nothing_new_to_a_draining_or_removed_backend() {
@@ -221,3 +225,78 @@
     assert_eq!(proxy.client().exchange(&short).status(), 503);
     assert_eq!(proxy.client().exchange(HEALTH_REQUEST).status(), 200);
 }
+
+/// Guards against one update that moves a backend to another start and another address and leaves its old address in use.
+#[test]
+fn restarted_backend_is_served_at_its_new_address_alone() {
+    const CLIENTS: usize = 6;
+    /// How long clients send after the move.
+    const AFTER_MOVE: Duration = Duration::from_millis(2_500);
+    /// The grace of a drain, and what discovery and backends may take to post and record.
+    const GRACE: Duration = Duration::from_millis(1_050 + 150);
+
+    let response = |body: &str| {
+        BackendAction::WriteAndClose(response_bytes("200 OK", "Connection: close\r\n", body.as_bytes()))
+    };
+    let discovery = Discovery::start();
+    let has_moved = Arc::new(AtomicBool::new(false));
+    let moved = Arc::clone(&has_moved);
+    // Its connections end with their responses: after the move, another service has the port.
+    let old =
+        Backend::start(move |_| response(if moved.load(Ordering::Acquire) { "stranger" } else { "old" }));
+    let new = Backend::start(|_| ok("new"));
+    let neighbours = [Backend::start(|_| ok("neighbour")), Backend::start(|_| ok("neighbour"))];
+    let mut config = config("moved", &discovery);
+    config["settings"]["safety"]["coldUs"] = 1.into();
+    let proxy = Proxy::start_with_config("moved", &config);
+    discovery.post(
+        true,
+        &[
+            entry("s-0", old.address, "active", 1_000),
+            entry("s-1", neighbours[0].address, "active", 1_000),
+            entry("s-2", neighbours[1].address, "active", 1_000),
+        ],
+    );
+
+    let stop = AtomicBool::new(false);
+    let answers = Mutex::new(Vec::new());
+    let moved_at = thread::scope(|scope| {
+        for number in 0..CLIENTS {
+            let (proxy, stop, answers) = (&proxy, &stop, &answers);
+            scope.spawn(move || {
+                let mut client = proxy.client();
+                for round in 0.. {
+                    if stop.load(Ordering::Acquire) {
+                        return;
+                    }
+                    let response = client.exchange(&request("read", &format!("{number}-{round}"), ""));
+                    answers.lock().expect("the answers").push(response);
+                    thread::sleep(Duration::from_millis(20));
+                }
+            });
+        }
+        thread::sleep(Duration::from_millis(500));
+        has_moved.store(true, Ordering::Release);
+        let moved_at = Instant::now();
+        discovery.post_without_waiting(false, &[entry("s-0", new.address, "active", 2_000)]);
+        thread::sleep(AFTER_MOVE);
+        stop.store(true, Ordering::Release);
+        moved_at
+    });
+
+    let is_after_grace = |message: &HttpMessage| message.received_at > moved_at + GRACE;
+    let stale = old.requests.try_iter().filter(is_after_grace).count();
+    assert_eq!(stale, 0, "requests reached the port that the backend has left");
+    let answers = answers.into_inner().expect("the answers");
+    let stranger_answers = answers.iter().filter(|a| is_after_grace(a) && a.body == b"stranger").count();
+    assert_eq!(stranger_answers, 0, "clients got answers of another service");
+    assert!(answers.iter().all(|answer| answer.status() == 200), "the backends can serve all");
+    let at_new = new.requests.try_iter().count();
+    let at_neighbours =
+        neighbours.iter().map(|n| n.requests.try_iter().filter(|m| m.received_at > moved_at).count());
+    let at_neighbours: usize = at_neighbours.sum();
+    assert!(
+        at_new * 5 > at_neighbours,
+        "{at_new} requests reached the new process, {at_neighbours} its neighbours"
+    );
+}
