Count requests without a backend's response by cause, for operators and traces

Change: the balancer counts each request that it ends itself under one of five causes. Engine::counts carries the counts; readyz shows them behind its answer once there are any, a log line every 10 s tells new ones, and the tables of the testbed print them.

Result: tells_why_requests_ended_without_a_response is new and passes.

--- a/crates/balancer/src/api/mod.rs
+++ b/crates/balancer/src/api/mod.rs
@@ -7,6 +7,7 @@
 mod membership;
 mod outcome;
 mod settings;
+mod unserved;
 
 pub use action::Action;
 pub use event::{AttemptResult, Event, Request};
@@ -17,6 +18,7 @@
     Class, DedupScope, Idempotency, LoadReportFields, MAX_TENANTS, Permissions, SafetyLimits, Settings,
     SettingsError, SettingsProblem, Tenant,
 };
+pub use unserved::{UnservedCause, UnservedCounts};
 
 /// A point in time or a duration, in microseconds.
 pub type Micros = u64;
--- /dev/null
+++ b/crates/balancer/src/api/unserved.rs
@@ -0,0 +1,90 @@
+//! Why requests end without a backend's response.
+
+use std::fmt;
+use std::ops::AddAssign;
+
+/// Why the balancer ended a request, rejected or failed, without a backend's response.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum UnservedCause {
+    /// It waited in the queue as long as it may, and no backend had free capacity.
+    QueueTimeout,
+    /// A response would come too late to have any value.
+    TooLate,
+    /// Its tenant is over its quota while queues stand.
+    OverQuota,
+    /// Its attempts failed, and the rules or the maximum number of attempts allow no further one.
+    NoFurtherAttempt,
+    /// Its attempt failed, and the retry budget is empty.
+    RetryBudget,
+}
+
+impl UnservedCause {
+    /// All causes, each at the index of its discriminant.
+    pub const ALL: [Self; 5] =
+        [Self::QueueTimeout, Self::TooLate, Self::OverQuota, Self::NoFurtherAttempt, Self::RetryBudget];
+
+    /// The label of its counter.
+    #[must_use]
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::QueueTimeout => "queue_timeout",
+            Self::TooLate => "too_late",
+            Self::OverQuota => "over_quota",
+            Self::NoFurtherAttempt => "no_further_attempt",
+            Self::RetryBudget => "retry_budget",
+        }
+    }
+}
+
+/// Requests that ended without a backend's response, by cause.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct UnservedCounts([u64; UnservedCause::ALL.len()]);
+
+impl UnservedCounts {
+    /// Counts one request.
+    pub fn record(&mut self, cause: UnservedCause) {
+        self.0[cause as usize] += 1;
+    }
+
+    /// The number of requests that ended for this cause.
+    #[must_use]
+    pub fn of(&self, cause: UnservedCause) -> u64 {
+        self.0[cause as usize]
+    }
+
+    /// The number of requests, whatever the cause.
+    #[must_use]
+    pub fn total(&self) -> u64 {
+        self.0.iter().sum()
+    }
+
+    /// What was counted since these earlier counts.
+    #[must_use]
+    pub fn since(&self, earlier: &Self) -> Self {
+        let mut counts = *self;
+        for (count, before) in counts.0.iter_mut().zip(earlier.0) {
+            *count = count.saturating_sub(before);
+        }
+        counts
+    }
+}
+
+impl AddAssign for UnservedCounts {
+    fn add_assign(&mut self, other: Self) {
+        for (count, more) in self.0.iter_mut().zip(other.0) {
+            *count += more;
+        }
+    }
+}
+
+/// `label count` for each cause that occurred, separated by commas.
+impl fmt::Display for UnservedCounts {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let occurred = UnservedCause::ALL.into_iter().filter(|&cause| self.of(cause) > 0);
+        for (position, cause) in occurred.enumerate() {
+            let separator = if position > 0 { ", " } else { "" };
+            write!(f, "{separator}{} {}", cause.label(), self.of(cause))?;
+        }
+        Ok(())
+    }
+}
--- a/crates/balancer/src/balancer.rs
+++ b/crates/balancer/src/balancer.rs
@@ -23,7 +23,7 @@
 mod slow_start;
 mod timer;
 
-use crate::api::{Action, Event, Micros, Settings, SettingsError, Tenant};
+use crate::api::{Action, Event, Micros, Settings, SettingsError, Tenant, UnservedCounts};
 use crate::state::{
     FailureRate, Fleet, IdleTrust, KindLimit, LatencyTable, PeakThroughput, RejectionRate, Requests,
     RetryBudget, SlotBudget, TokenBucket, TrafficStatistics,
@@ -49,6 +49,7 @@
     slot_budget: SlotBudget,
     /// Consecutive failures of the watch on discovery.
     subscribe_failures: u32,
+    unserved: UnservedCounts,
 }
 
 impl Balancer {
@@ -82,6 +83,7 @@
             idle_trust: IdleTrust::new(settings.permissions.idle_connection_timeout, now),
             slot_budget: SlotBudget::new(),
             subscribe_failures: 0,
+            unserved: UnservedCounts::default(),
             settings,
         })
     }
@@ -118,6 +120,12 @@
         self.fleet.ejections
     }
 
+    /// Requests that ended without a backend's response so far, by cause.
+    #[must_use]
+    pub fn unserved(&self) -> UnservedCounts {
+        self.unserved
+    }
+
     /// The limit and the requests in flight of each ready backend, for operators.
     pub fn limits(&self) -> impl Iterator<Item = (f64, u32)> {
         self.fleet.ready_backends().map(|backend| (backend.limit, backend.in_flight))
--- a/crates/balancer/src/balancer/admission.rs
+++ b/crates/balancer/src/balancer/admission.rs
@@ -2,7 +2,7 @@
 
 use super::Balancer;
 use super::timer::Timer;
-use crate::api::{Action, Micros, Request};
+use crate::api::{Action, Micros, Request, UnservedCause};
 use crate::state::{AttemptState, OpenRequest, RetryScope};
 use smallvec::SmallVec;
 
@@ -62,11 +62,19 @@
         }
         let request = &self.requests.open[slot];
         let is_shed = request.is_over_quota && self.traffic.rejections.has_standing_queues();
-        if is_shed || self.retry_scope(now, request) == RetryScope::Nowhere || self.is_too_late(now, request)
-        {
-            return self.give_up(slot, out);
+        let hopeless = if is_shed { Some(UnservedCause::OverQuota) } else { self.hopeless(now, request) };
+        match hopeless {
+            Some(cause) => self.give_up(slot, cause, out),
+            None => self.enqueue(now, slot, out),
         }
-        self.enqueue(now, slot, out);
+    }
+
+    /// Why no attempt that starts now could serve the request, if none could.
+    pub(super) fn hopeless(&self, now: Micros, request: &OpenRequest) -> Option<UnservedCause> {
+        if self.retry_scope(now, request) == RetryScope::Nowhere {
+            return Some(UnservedCause::NoFurtherAttempt);
+        }
+        self.is_too_late(now, request).then_some(UnservedCause::TooLate)
     }
 
     fn enqueue(&mut self, now: Micros, slot: usize, out: &mut Vec<Action>) {
@@ -80,13 +88,13 @@
     }
 
     pub(super) fn on_queue_timeout(&mut self, now: Micros, slot: usize, out: &mut Vec<Action>) {
-        if !self.is_too_late(now, &self.requests.open[slot])
-            && let Some(backend) = self.select(now, slot)
-        {
+        let is_too_late = self.is_too_late(now, &self.requests.open[slot]);
+        if !is_too_late && let Some(backend) = self.select(now, slot) {
             return self.send(now, slot, backend, out);
         }
         self.requests.dequeue(slot);
-        self.give_up(slot, out);
+        let cause = if is_too_late { UnservedCause::TooLate } else { UnservedCause::QueueTimeout };
+        self.give_up(slot, cause, out);
     }
 
     /// Capacity may have become free: sends queued requests, those with the highest weight per work first.
@@ -112,18 +120,19 @@
     }
 
     /// Nothing more can be started for the request: it ends unless an attempt is still in flight.
-    pub(super) fn give_up(&mut self, slot: usize, out: &mut Vec<Action>) {
+    pub(super) fn give_up(&mut self, slot: usize, cause: UnservedCause, out: &mut Vec<Action>) {
         if self.requests.open[slot].unfinished_attempts() == 0 {
-            self.finish(slot, out);
+            self.finish(slot, cause, out);
         }
     }
 
     /// The only place where a final response is given (rule 1).
-    fn finish(&mut self, slot: usize, out: &mut Vec<Action>) {
+    fn finish(&mut self, slot: usize, cause: UnservedCause, out: &mut Vec<Action>) {
         let open = &self.requests.open[slot];
         if open.is_answered {
             return;
         }
+        self.unserved.record(cause);
         let request = open.id;
         let never_executed = open.attempts.iter().all(|attempt| attempt.state == AttemptState::NeverExecuted);
         let lacked_capacity = !open.is_over_quota && never_executed;
--- a/crates/balancer/src/balancer/retries.rs
+++ b/crates/balancer/src/balancer/retries.rs
@@ -2,7 +2,7 @@
 //! up.
 
 use super::Balancer;
-use crate::api::{Action, DedupScope, Idempotency, Micros};
+use crate::api::{Action, DedupScope, Idempotency, Micros, UnservedCause};
 use crate::state::{OpenRequest, RetryScope};
 
 /// A retryable attempt is given up after this fraction of the latency objective, and after twice the time at
@@ -79,10 +79,11 @@
         if request.unfinished_attempts() > 0 || request.queued_until.is_some() {
             return;
         }
-        let is_hopeless =
-            self.retry_scope(now, request) == RetryScope::Nowhere || self.is_too_late(now, request);
-        if is_hopeless || (!never_executed && self.retry_budget.is_empty()) {
-            return self.give_up(slot, out);
+        if let Some(cause) = self.hopeless(now, request) {
+            return self.give_up(slot, cause, out);
+        }
+        if !never_executed && self.retry_budget.is_empty() {
+            return self.give_up(slot, UnservedCause::RetryBudget, out);
         }
         if !never_executed {
             self.retry_budget.withdraw();
--- a/crates/proxy-server/src/admin_handler.rs
+++ b/crates/proxy-server/src/admin_handler.rs
@@ -79,7 +79,7 @@
         let response = match command {
             ConsoleCommand::Ready => {
                 self.update_status();
-                return self.status.borrow().readiness_response();
+                return self.readiness_response();
             }
             ConsoleCommand::Exclude(id) => self.exclude(&id).await,
             ConsoleCommand::Include(id) => self.include(&id).await,
@@ -93,6 +93,17 @@
         self.status.borrow_mut().begin_draining();
     }
 
+    /// Whether this process is ready, and why requests ended without a backend's response so far, if any did.
+    fn readiness_response(&self) -> ConsoleResponse {
+        let unserved = self.context.handle.counts().unserved;
+        match self.status.borrow().readiness_response() {
+            ConsoleResponse::Success(text) if unserved.total() > 0 => {
+                ConsoleResponse::Success(format!("{text}; without a backend's response: {unserved}"))
+            }
+            response => response,
+        }
+    }
+
     async fn exclude(self: &Rc<Self>, id: &str) -> ConsoleResponse {
         if !self.context.backend_list.borrow().is_known(id) {
             return unknown_backend(id);
--- a/crates/proxy-server/src/lib.rs
+++ b/crates/proxy-server/src/lib.rs
@@ -7,3 +7,4 @@
 mod learned_state;
 mod persistence;
 pub mod server;
+mod unserved_log;
--- a/crates/proxy-server/src/server.rs
+++ b/crates/proxy-server/src/server.rs
@@ -12,6 +12,7 @@
 use crate::config_reload::ConfigReload;
 use crate::error::ProxyServerError;
 use crate::persistence::{OpenedState, PersistentState};
+use crate::unserved_log::log_unserved;
 use admin::exclusions::Exclusions;
 use balancer::api::Micros;
 use client_front_end::{ClientFrontEnd, ClientFrontEndOptions};
@@ -180,6 +181,7 @@
         tokio::task::spawn_local(watcher.run());
         tokio::task::spawn_local(Rc::clone(&self.handle.transport().backend_pool).close_expired());
         tokio::task::spawn_local(Rc::clone(&self.listener.stall_detector).run());
+        tokio::task::spawn_local(log_unserved(self.handle.clone()));
         let clients = Rc::clone(&self.client_front_end.connections);
         let accepting = clients.accept(Rc::clone(&self.listener.socket), self.listener.opened_at);
         tokio::task::spawn_local(async move {
--- /dev/null
+++ b/crates/proxy-server/src/unserved_log.rs
@@ -0,0 +1,24 @@
+//! Tells operators why requests ended without a backend's response.
+
+use balancer::api::UnservedCounts;
+use http_proxy::log::log;
+use http_proxy::transport::Handle;
+use std::time::Duration;
+use tokio::time::sleep;
+
+/// How often the log has a line, where there is anything to tell.
+const LOG_INTERVAL: Duration = Duration::from_secs(10);
+
+/// Logs the requests that ended without a backend's response, by cause, until the process ends.
+pub(crate) async fn log_unserved(handle: Handle) {
+    let mut logged = UnservedCounts::default();
+    loop {
+        sleep(LOG_INTERVAL).await;
+        let counts = handle.counts().unserved;
+        let new = counts.since(&logged);
+        if new.total() > 0 {
+            log(format_args!("requests ended without a backend's response: {new}"));
+            logged = counts;
+        }
+    }
+}
--- a/crates/proxy-server/tests/operations/console.rs
+++ b/crates/proxy-server/tests/operations/console.rs
@@ -35,6 +35,29 @@
     assert!(proxy.wait().success());
 }
 
+/// Guards against rejections whose cause operators can't see.
+#[test]
+fn tells_why_requests_ended_without_a_response() {
+    let discovery = Discovery::start();
+    let backend = Backend::start(|_| BackendAction::Hang);
+    let config = config_with_console(&discovery, None);
+    let (mut proxy, console) = Proxy::start_with_console(&empty_folder("causes"), "causes", &config);
+    discovery.post(true, &[entry("s-a", backend.address, "active", 0)]);
+    assert_eq!(send_command(console, "readyz\n"), "SUCCESS serving\n");
+    let _occupying = [0, 1].map(|n| {
+        let mut client = proxy.client();
+        client.send(&request("charge", &format!("open-{n}"), "x"));
+        backend.next_request();
+        client
+    });
+    let rejected = proxy.client().exchange(&request("charge", "late", "x"));
+    assert_eq!(rejected.status(), 503);
+    let expected = "SUCCESS serving; without a backend's response: queue_timeout 1\n";
+    assert_eq!(send_command(console, "readyz\n"), expected);
+    let line = proxy.wait_for_log("requests ended without a backend's response");
+    assert!(line.trim().ends_with("queue_timeout 1"), "{line}");
+}
+
 #[test]
 fn excluded_backend_receives_nothing_until_included() {
     let discovery = Discovery::start();
--- a/crates/request-engine/src/engine/mod.rs
+++ b/crates/request-engine/src/engine/mod.rs
@@ -142,7 +142,7 @@
     /// Totals over all requests since the start.
     #[must_use]
     pub fn counts(&self) -> Counts {
-        Counts { ejections: self.balancer.ejections(), ..self.counts }
+        Counts { ejections: self.balancer.ejections(), unserved: self.balancer.unserved(), ..self.counts }
     }
 
     /// Totals over all leases since the start.
--- a/crates/request-engine/src/messages.rs
+++ b/crates/request-engine/src/messages.rs
@@ -1,7 +1,7 @@
 //! Messages between the engine, its front ends and its transport.
 
 use crate::lease::LeaseId;
-use balancer::api::{BackendId, Micros, Outcome, RequestId};
+use balancer::api::{BackendId, Micros, Outcome, RequestId, UnservedCounts};
 use thiserror::Error;
 
 /// The front end's types that pass through the engine, which does not look into them.
@@ -212,4 +212,6 @@
     pub outcomes: [u64; Outcome::ALL.len()],
     /// Backends ejected because their requests failed.
     pub ejections: u64,
+    /// Ended by the balancer without a backend's response, by cause.
+    pub unserved: UnservedCounts,
 }
--- a/crates/testbed/src/connection_fault_matrix.rs
+++ b/crates/testbed/src/connection_fault_matrix.rs
@@ -140,6 +140,9 @@
                 write!(f, " {outcome:?} {count}")?;
             }
         }
+        if self.day.unserved.total() > 0 {
+            write!(f, "  unserved: {}", self.day.unserved)?;
+        }
         if !self.day.judgement.is_clean() {
             write!(f, "  RULES BROKEN {:?}", self.day.judgement.violations)?;
         }
--- a/crates/testbed/src/sockets.rs
+++ b/crates/testbed/src/sockets.rs
@@ -17,7 +17,7 @@
 use crate::invariant_checker::{CheckReport, check};
 use crate::plan::Plan;
 use crate::script::{Script, ScriptError};
-use balancer::api::{Micros, Outcome};
+use balancer::api::{Micros, Outcome, UnservedCounts};
 use http_proxy::config::ConfigError;
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
@@ -112,6 +112,8 @@
     pub outcomes: [u64; Outcome::ALL.len()],
     /// Backends ejected, summed over all proxies.
     pub ejections: u64,
+    /// Requests that the balancers ended without a backend's response, by cause.
+    pub unserved: UnservedCounts,
 }
 
 /// Runs a scenario. `slack` is the timing tolerance of this machine in microseconds; `watch` is called once a second.
@@ -161,15 +163,17 @@
     // Lets the emulators observe stale sends for requests that have already ended.
     sleep(STATUS_INTERVAL + Duration::from_millis(50)).await;
     let (mut outcomes, mut ejections) = ([0; Outcome::ALL.len()], 0);
+    let mut unserved = UnservedCounts::default();
     for proxy in &proxies {
         if let Ok(status) = proxy.status.lock() {
             ejections += status.1.ejections;
+            unserved += status.1.unserved;
             outcomes.iter_mut().zip(status.1.outcomes).for_each(|(sum, more)| *sum += more);
         }
     }
     threads::stop_all(proxies).await?;
     let judgement = check(script, &shard.record(), slack);
-    Ok(ScenarioResult { judgement, fault_hits: shard.fault_hits(), outcomes, ejections })
+    Ok(ScenarioResult { judgement, fault_hits: shard.fault_hits(), outcomes, ejections, unserved })
 }
 
 fn progress_report(
--- a/crates/testbed/src/virtual_time.rs
+++ b/crates/testbed/src/virtual_time.rs
@@ -215,6 +215,7 @@
         self.counts.client_disconnected += counts.client_disconnected;
         self.counts.attempts += counts.attempts;
         self.counts.unmatched += counts.unmatched;
+        self.counts.unserved += counts.unserved;
         self.leases.granted += leases.granted;
         self.leases.reported += leases.reported;
         self.leases.expired += leases.expired;
