Retries after broken connections take half a token of the retry budget

Cause: the budget gets a tenth of a token with each request, and each retry took a whole one: at a tenth of broken connections it is a random walk that empties.

Why this works: the budget keeps retries from multiplying load, and a broken connection is no sign of load; the limits treat it so already. At half a token the budget gains while under a fifth of connections break, and still bounds retries where all of them do.

--- a/crates/balancer/src/api/outcome.rs
+++ b/crates/balancer/src/api/outcome.rs
@@ -38,6 +38,12 @@
         Self::NotSent,
     ];
 
+    /// Whether the connection broke or spoiled the response, which is no sign of its backend's load.
+    #[must_use]
+    pub fn is_broken_connection(self) -> bool {
+        matches!(self, Self::Malformed | Self::ConnectFailed | Self::Reset)
+    }
+
     /// Whether this outcome proves that the attempt was never executed.
     #[must_use]
     pub fn never_executed(self) -> bool {
--- a/crates/balancer/src/balancer/attempts.rs
+++ b/crates/balancer/src/balancer/attempts.rs
@@ -77,7 +77,7 @@
         if result.is_answered || self.requests.open[slot].is_answered {
             self.close(slot);
         } else {
-            self.retry(now, slot, never_executed, out);
+            self.retry(now, slot, result.outcome, out);
         }
         self.serve_queue(now, out);
     }
--- a/crates/balancer/src/balancer/outcomes.rs
+++ b/crates/balancer/src/balancer/outcomes.rs
@@ -91,8 +91,7 @@
 /// Whether an attempt broke or was lost on the way, which is no sign of its backend's load.
 fn is_unrelated_to_load(attempt: &Attempt, outcome: Outcome) -> bool {
     match outcome {
-        Outcome::Malformed | Outcome::ConnectFailed | Outcome::Reset => true,
         Outcome::Timeout => attempt.timeout_means_loss,
-        _ => false,
+        _ => outcome.is_broken_connection(),
     }
 }
--- a/crates/balancer/src/balancer/retries.rs
+++ b/crates/balancer/src/balancer/retries.rs
@@ -2,7 +2,7 @@
 //! up.
 
 use super::Balancer;
-use crate::api::{Action, DedupScope, Idempotency, Micros, UnservedCause};
+use crate::api::{Action, DedupScope, Idempotency, Micros, Outcome, UnservedCause};
 use crate::state::{OpenRequest, RetryScope};
 
 /// A retryable attempt is given up after this fraction of the latency objective, and after twice the time at
@@ -74,7 +74,7 @@
     }
 
     /// An attempt failed and the client waits: retries if the rules and the retry budget allow it.
-    pub(super) fn retry(&mut self, now: Micros, slot: usize, never_executed: bool, out: &mut Vec<Action>) {
+    pub(super) fn retry(&mut self, now: Micros, slot: usize, outcome: Outcome, out: &mut Vec<Action>) {
         let request = &self.requests.open[slot];
         if request.unfinished_attempts() > 0 || request.queued_until.is_some() {
             return;
@@ -82,11 +82,11 @@
         if let Some(cause) = self.hopeless(now, request) {
             return self.give_up(slot, cause, out);
         }
-        if !never_executed && self.retry_budget.is_empty() {
-            return self.give_up(slot, UnservedCause::RetryBudget, out);
-        }
-        if !never_executed {
-            self.retry_budget.withdraw();
+        if !outcome.never_executed() {
+            if self.retry_budget.is_empty() {
+                return self.give_up(slot, UnservedCause::RetryBudget, out);
+            }
+            self.retry_budget.withdraw(outcome.is_broken_connection());
         }
         self.dispatch(now, slot, out);
     }
--- a/crates/balancer/src/state/retry_budget.rs
+++ b/crates/balancer/src/state/retry_budget.rs
@@ -4,8 +4,12 @@
 const RETRY_FRACTION: f64 = 0.1;
 /// Retries in a burst.
 const MAX_BURST: f64 = 10.0;
+/// Tokens of a retry after a failure that may be a sign of load.
+const FULL_PRICE: f64 = 1.0;
+/// Tokens of a retry after a failure that is no sign of load: twice as many of them are allowed.
+const REDUCED_PRICE: f64 = 0.5;
 
-/// A token per retry; each request deposits a fraction of one.
+/// A token per retry, or less; each request deposits a fraction of one.
 pub(crate) struct RetryBudget {
     tokens: f64,
 }
@@ -21,12 +25,13 @@
         self.tokens = (self.tokens + RETRY_FRACTION).min(MAX_BURST);
     }
 
-    /// Debits one retry.
-    pub(crate) fn withdraw(&mut self) {
-        self.tokens -= 1.0;
+    /// Debits one retry. `is_unrelated_to_load`: the failure before it is no sign of load.
+    pub(crate) fn withdraw(&mut self, is_unrelated_to_load: bool) {
+        self.tokens -= if is_unrelated_to_load { REDUCED_PRICE } else { FULL_PRICE };
     }
 
+    /// Whether no retry can be paid, whatever the failure before it.
     pub(crate) fn is_empty(&self) -> bool {
-        self.tokens < 1.0
+        self.tokens < FULL_PRICE
     }
 }
--- a/crates/balancer/tests/retries.rs
+++ b/crates/balancer/tests/retries.rs
@@ -87,3 +87,41 @@
     let ends = |action: &Action| matches!(action, Action::Cancel { .. } | Action::Fail { .. });
     assert!(!proxy.log.iter().any(|(_, action)| ends(action)));
 }
+
+/// Sends requests one after another, each attempt of which ends in a broken connection with this probability.
+fn load_with_broken_connections(probability: f64, seed: u64) -> EmulatedProxy {
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let mut proxy = EmulatedProxy::new(single_zone(), one_zone(8));
+    for id in 0..1_000 {
+        proxy.request(request(id, IDEMPOTENT));
+        for attempt in 0.. {
+            if proxy.requests[&id].attempts.len() <= usize::from(attempt) {
+                break;
+            }
+            let is_broken = rng.f64() < probability;
+            proxy.finish(id, attempt, if is_broken { Outcome::Reset } else { Outcome::Ok });
+        }
+        proxy.advance(10 * MS);
+    }
+    proxy
+}
+
+/// Guards against requests that end unserved on an idle fleet while a tenth of all connections break.
+#[test]
+fn retry_budget_lasts_while_a_tenth_of_connections_break() {
+    for seed in 0..8 {
+        let proxy = load_with_broken_connections(0.1, seed);
+        let unserved = proxy.balancer.unserved();
+        assert_eq!(unserved.of(UnservedCause::RetryBudget), 0, "seed {seed}: {unserved}");
+    }
+}
+
+/// Guards against a retry budget that bounds nothing: every attempt breaks, as with a request that its backends can't bear.
+#[test]
+fn retry_budget_bounds_retries_where_every_connection_breaks() {
+    let proxy = load_with_broken_connections(1.0, 7);
+    let requests = proxy.requests.len();
+    let attempts: usize = proxy.requests.values().map(|request| request.attempts.len()).sum();
+    assert!(attempts <= requests + requests / 5 + 20, "{attempts} attempts of {requests} requests");
+    assert!(proxy.balancer.unserved().total() > 0);
+}
