Failing test: a hundred processes that start with no list before one asked service

What is known: the service does 91 calls of 110 ms in 10 s, and each process takes two of them: the list, and the start of its watch right behind it.

--- a/crates/testbed/tests/restarts.rs
+++ b/crates/testbed/tests/restarts.rs
@@ -48,6 +48,15 @@
     }
 }
 
+/// Guards against a fleet that starts without any list and is not ready in time, as its watches take the service's time.
+#[test]
+fn starts_nine_in_ten_of_a_hundred_in_time_without_a_list() {
+    let mut script = starting_with(InitialList::Nothing);
+    (script.fleet.proxies, script.traffic.per_s, script.seconds) = (100, 100.0, 14.0);
+    let restarts = played(&script);
+    assert!(restarts.restarted == 70 && restarts.is_soon(), "{restarts:?}");
+}
+
 /// A service that takes two seconds a call gives six of seven no list in time: that is seen.
 #[test]
 fn detects_a_discovery_service_below_demand() {
