A time before that of an earlier event counts as the latest one in the balancer

What was seen: a clock that goes back between two events made the balancer subtract below zero.

Cause: handle relied on its callers for times that never decrease.

Why this works: handle and restore are the only entries that take a time, and both go through one function now.

--- a/crates/balancer/src/balancer.rs
+++ b/crates/balancer/src/balancer.rs
@@ -49,6 +49,8 @@
     slot_budget: SlotBudget,
     /// Consecutive failures of the watch on discovery.
     subscribe_failures: u32,
+    /// The latest time of any event.
+    latest_time: Micros,
     unserved: UnservedCounts,
 }
 
@@ -83,14 +85,16 @@
             idle_trust: IdleTrust::new(settings.permissions.idle_connection_timeout, now),
             slot_budget: SlotBudget::new(),
             subscribe_failures: 0,
+            latest_time: now,
             unserved: UnservedCounts::default(),
             settings,
         })
     }
 
-    /// Applies one event and appends the actions that follow from it. `now` never decreases from call to
-    /// call.
+    /// Applies one event and appends the actions that follow from it. A `now` (microseconds) before that of an
+    /// earlier call counts as the latest one, so that no time is subtracted below zero.
     pub fn handle(&mut self, now: Micros, event: Event<'_>, out: &mut Vec<Action>) {
+        let now = self.monotonic(now);
         match event {
             Event::Membership(update) => self.on_membership(now, update, out),
             Event::Request(request) => self.on_request(now, request, out),
@@ -114,6 +118,12 @@
         }
     }
 
+    /// Makes time monotonic, whatever the caller's clock does.
+    fn monotonic(&mut self, now: Micros) -> Micros {
+        self.latest_time = self.latest_time.max(now);
+        self.latest_time
+    }
+
     /// Number of ejections of backends so far.
     #[must_use]
     pub fn ejections(&self) -> u64 {
--- a/crates/balancer/src/balancer/learned_state.rs
+++ b/crates/balancer/src/balancer/learned_state.rs
@@ -20,6 +20,7 @@
     /// listed, or that have restarted since, keep their state; so does everything if classes or machine kinds
     /// differ. Returns whether the state was taken.
     pub fn restore(&mut self, now: Micros, state: &LearnedState) -> bool {
+        let now = self.monotonic(now);
         let estimates = &mut self.traffic.latencies.estimates;
         if state.machine_kinds.len() != self.kind_limits.len() || state.latencies.len() != estimates.len() {
             return false;
