Rule 4 of the invariant checker counts a slow backend's own capacity

What was seen: a warming backend of a quarter of the usual speed that got eight times what it can do broke no rule for the checker.

Cause: check_slow_start left out the backend's relative speed.

Faster backends keep the bound that they had, so that no check is eased.

--- a/crates/testbed/src/invariant_checker.rs
+++ b/crates/testbed/src/invariant_checker.rs
@@ -323,8 +323,11 @@
         warm_up.recent.retain(|received| received.at >= from);
         let received: f64 = warm_up.recent.iter().map(|received| received.work as f64).sum();
         let progress = (from - started_at) as f64 / micros(fleet.warm_up_s).max(1) as f64;
-        let capacity =
-            fleet.cores * (fleet.initial_capacity + (1.0 - fleet.initial_capacity) * progress.min(1.0));
+        // What a faster one can do beyond that is not counted: the bound is that of the settings.
+        let speed = self.script.speed(backend).min(1.0);
+        let capacity = fleet.cores
+            * speed
+            * (fleet.initial_capacity + (1.0 - fleet.initial_capacity) * progress.min(1.0));
         let limit =
             OVERLOAD_MULTIPLE * capacity * OVERLOAD_WINDOW as f64 + OVERLOAD_SLACK_REQUESTS * work as f64;
         if received > limit {
--- a/crates/testbed/src/invariant_checker/tests.rs
+++ b/crates/testbed/src/invariant_checker/tests.rs
@@ -229,3 +229,25 @@
     assert_eq!(violations(0, &[served[0], served[1], killed, asked(65), restarted])[0], 0);
     assert_eq!(violations(0, &[served[0], served[1], killed, restarted, asked(75)])[0], 1);
 }
+
+/// Guards against a checker that measures a slow backend by the capacity of one at full speed.
+#[test]
+fn rule_4_counts_the_capacity_of_a_slow_backend() {
+    let overloads = |speeds: &str| {
+        let text = SCRIPT.replace("boxes = 12,", &format!("boxes = 12, speeds = [{speeds}],"));
+        let script = Script::parse(&text, Path::new("day")).expect("a good script");
+        let mut log = ObservationLog::default();
+        log.add(0, Observation::BackendStarted { backend: 0 });
+        log.add(0, Observation::RequestSent { id: 1, class: 0, end: 500_000, proxy: 0 });
+        let capacity = script.fleet.initial_capacity * script.fleet.cores * OVERLOAD_WINDOW as f64;
+        // Twice what a warming backend of full speed can do, in one window.
+        let work = (capacity * 2.0 / 100.0) as Micros;
+        for n in 0..100 {
+            log.add(n * 1_000, Observation::AttemptStarted { id: 1, backend: 0, work });
+        }
+        log.add(200_000, response(ResponseKind::Served));
+        check(&script, &log, 0).violations[3]
+    };
+    assert_eq!(overloads("1.0"), 0, "within the bound of {OVERLOAD_MULTIPLE}");
+    assert!(overloads("0.25") > 0, "eight times what a backend of a quarter of the speed can do");
+}
