The first simulated proxy keeps the injected fault over several commands

What was seen: in a scale run with over 500 simulated proxies in one process the planted fault was in the first proxy of the last chunk.

Cause: each command of 500 proxies replaced what the one before had set.

Evidence: the new test found the fault at proxy 500 before, at 0 now.

--- a/crates/testbed/src/scale/fleet/fault_injection.rs
+++ b/crates/testbed/src/scale/fleet/fault_injection.rs
@@ -6,6 +6,24 @@
 use rustc_hash::FxHashMap;
 use std::sync::Arc;
 
+/// The simulated proxy with the injected fault: the first one of its process.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct FaultyProxy(Option<(u32, InjectedFault)>);
+
+impl FaultyProxy {
+    /// Assigns proxies by number, in one of several commands with the same fault.
+    pub fn assign(&mut self, numbers: impl Iterator<Item = u32>, fault: InjectedFault) {
+        let first = numbers.min().map(|first| (first, fault));
+        self.0 = self.0.into_iter().chain(first).min_by_key(|&(number, _)| number);
+    }
+
+    /// The fault of the proxy with this number.
+    #[must_use]
+    pub fn fault_of(&self, number: u32) -> InjectedFault {
+        self.0.filter(|(first, _)| *first == number).map_or(InjectedFault::None, |(_, fault)| fault)
+    }
+}
+
 /// The fault injector of one subscriber.
 #[derive(Debug)]
 pub struct FaultInjector {
--- a/crates/testbed/src/scale/fleet/simulated_proxy.rs
+++ b/crates/testbed/src/scale/fleet/simulated_proxy.rs
@@ -1,7 +1,7 @@
 //! A process of simulated proxies: each is the real subscriber with its own connection and the real choice of a relay, but
 //! no traffic. They share one thread. The testbed sends commands over one connection, and reads their replicas.
 
-use super::fault_injection::FaultInjector;
+use super::fault_injection::{FaultInjector, FaultyProxy};
 use super::messages::{
     self, Command, InjectedFault, MAX_MESSAGE_BYTES, ReplicaRecord, Response, SimulatedProxyCost,
     SimulatedProxySpec,
@@ -149,7 +149,7 @@
 struct ProxyHost {
     shared: Rc<Shared>,
     slots: BTreeMap<u32, ProxySlot>,
-    injected_fault: Option<(u32, InjectedFault)>,
+    faulty_proxy: FaultyProxy,
 }
 
 impl ProxyHost {
@@ -158,7 +158,7 @@
         if let Some(task) = slot.task.take() {
             task.abort();
         }
-        let fault = self.injected_fault.filter(|p| p.0 == number).map_or(InjectedFault::None, |p| p.1);
+        let fault = self.faulty_proxy.fault_of(number);
         slot.proxy = Rc::new(RefCell::new(SimulatedProxy::new(&slot.spec, fault, expected, &self.shared)));
         let (node, spec, clock) = (Rc::clone(&slot.proxy), slot.spec.clone(), self.shared.clock);
         slot.task = Some(tokio::task::spawn_local(async move {
@@ -210,7 +210,7 @@
     }
 
     fn assign(&mut self, specs: Vec<SimulatedProxySpec>, fault: InjectedFault) {
-        self.injected_fault = specs.iter().map(|spec| spec.number).min().map(|first| (first, fault));
+        self.faulty_proxy.assign(specs.iter().map(|spec| spec.number), fault);
         for spec in specs {
             let proxy = self.stopped_proxy(&spec);
             self.slots.insert(spec.number, ProxySlot { spec, proxy, task: None });
@@ -298,7 +298,7 @@
         stream.set_nodelay(true)?;
         let (mut from, mut to) = stream.into_split();
         let shared = Rc::new(Shared { clock: Clock::start(), tallies: RefCell::default() });
-        let mut host = ProxyHost { shared, slots: BTreeMap::new(), injected_fault: None };
+        let mut host = ProxyHost { shared, slots: BTreeMap::new(), faulty_proxy: FaultyProxy::default() };
         while let Some((_, command)) = messages::read(&mut from, MAX_MESSAGE_BYTES).await? {
             if !host.execute(command, &mut to).await? {
                 break;
--- a/crates/testbed/src/scale/fleet/tests.rs
+++ b/crates/testbed/src/scale/fleet/tests.rs
@@ -1,7 +1,7 @@
 //! The pure parts by themselves: each checker must find what it is there for, and find nothing where nothing is wrong.
 
 use super::checker::{Mismatch, compare, compare_list};
-use super::fault_injection::FaultInjector;
+use super::fault_injection::{FaultInjector, FaultyProxy};
 use super::messages::{InjectedFault, ReplicaRecord, Tally, key_hash};
 use super::model::{Model, SourceModel};
 use super::plan::{PlannedChange, ScalePlan};
@@ -518,3 +518,13 @@
         `ordinary_10x_2_subscriber_cores@5200` = 0 cores, `whole_list_bytes@20000` = 7 bytes";
     assert_eq!(results.check(page), Ok(4));
 }
+
+/// Guards against a fault that moves to the last chunk of a process that is assigned over 500 proxies.
+#[test]
+fn first_proxy_keeps_the_fault_over_several_commands() {
+    let mut faulty = FaultyProxy::default();
+    faulty.assign(0..500, InjectedFault::Drop);
+    faulty.assign(500..700, InjectedFault::Drop);
+    let with_fault: Vec<u32> = (0..700).filter(|&n| faulty.fault_of(n) != InjectedFault::None).collect();
+    assert_eq!(with_fault, [0]);
+}
