A class changed at SIGHUP goes by the narrower group and the shorter window of both

Cause: find took one of two versions as a whole, by group first, although neither was the stricter one in all respects.

Why this works: the reload lists the combination of two such versions behind them, and the registry applies it while a request may be meant under either.

--- a/crates/balancer/src/api/settings.rs
+++ b/crates/balancer/src/api/settings.rs
@@ -19,6 +19,14 @@
     Cell,
 }
 
+impl DedupScope {
+    /// Whether it holds fewer backends than another scope.
+    #[must_use]
+    pub fn is_narrower_than(self, other: Self) -> bool {
+        self as u8 > other as u8
+    }
+}
+
 /// What running a request twice would do.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Idempotency {
@@ -35,6 +43,23 @@
     NonIdempotent,
 }
 
+impl Idempotency {
+    /// What holds for a request that may be meant under either of two versions of its class, where neither is the stricter
+    /// one in all respects: the narrower scope of the one, and the shorter ttl of the other (rule 2). `None` where one is.
+    #[must_use]
+    pub fn combined_with(self, other: Self) -> Option<Self> {
+        let (Self::Keyed { scope: first_scope, ttl: first_ttl }, Self::Keyed { scope, ttl }) = (self, other)
+        else {
+            return None;
+        };
+        if first_scope.is_narrower_than(scope) && first_ttl > ttl {
+            return Some(Self::Keyed { scope: first_scope, ttl });
+        }
+        let is_reverse = scope.is_narrower_than(first_scope) && ttl > first_ttl;
+        is_reverse.then_some(Self::Keyed { scope, ttl: first_ttl })
+    }
+}
+
 /// A class of requests.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Class {
--- a/crates/http-proxy/src/class_registry.rs
+++ b/crates/http-proxy/src/class_registry.rs
@@ -68,9 +68,36 @@
 #[derive(Debug)]
 struct PreviousClass {
     class: RequestClass,
+    /// Its combination with the current version, where neither is the stricter one in all respects.
+    combined: Option<RequestClass>,
     served_until: Micros,
 }
 
+impl PreviousClass {
+    /// The version before `current` in these settings.
+    fn new(
+        class: RequestClass,
+        current: Option<&RequestClass>,
+        settings: &Settings,
+        served_until: Micros,
+    ) -> Self {
+        let combined = current.and_then(|current| combined_class(&class, current, &settings.classes));
+        Self { class, combined, served_until }
+    }
+}
+
+/// The combination of two versions of a class; the settings list it beside them.
+fn combined_class(
+    previous: &RequestClass,
+    current: &RequestClass,
+    classes: &[Class],
+) -> Option<RequestClass> {
+    let idempotency = previous.idempotency.combined_with(current.idempotency)?;
+    let combined = Class { idempotency, ..classes.get(usize::from(current.index))?.clone() };
+    let index = classes.iter().position(|class| *class == combined)?;
+    RequestClass::new(index, &combined)
+}
+
 #[derive(Debug, Default)]
 struct ClassVersions {
     current: Option<RequestClass>,
@@ -100,14 +127,14 @@
             let old = old_classes.remove(name).unwrap_or_default();
             let previous = match old.current {
                 Some(class) if Some(&class) != current.as_ref() => {
-                    Some(PreviousClass { class, served_until })
+                    Some(PreviousClass::new(class, current.as_ref(), settings, served_until))
                 }
                 _ => old.previous,
             };
             self.classes.insert(name.to_owned(), ClassVersions { current, previous });
         }
         for (name, old) in old_classes {
-            let removed = old.current.map(|class| PreviousClass { class, served_until });
+            let removed = old.current.map(|class| PreviousClass::new(class, None, settings, served_until));
             let previous = removed.or(old.previous);
             if previous.as_ref().is_some_and(|previous| previous.served_until > now) {
                 self.classes.insert(name, ClassVersions { current: None, previous });
@@ -116,8 +143,8 @@
         self.claim_terms = settings.classes.iter().map(ClaimTerms::of).collect();
     }
 
-    /// The class of a request at `now` (microseconds). Within the grace period the stricter of two versions applies, since
-    /// the client may know either.
+    /// The class of a request at `now` (microseconds). Within the grace period the stricter of two versions applies, or
+    /// what is stricter of each, since the client may know either.
     ///
     /// # Errors
     /// The request matches no class.
@@ -130,15 +157,17 @@
     ) -> Result<&RequestClass, ClassMismatch> {
         let versions = self.classes.get(name).ok_or(ClassMismatch::UnknownClass)?;
         let previous = versions.previous.as_ref().filter(|previous| now < previous.served_until);
+        let combined = previous.and_then(|previous| previous.combined.as_ref());
         let previous = previous.and_then(|previous| previous.class.check(method, has_key).ok());
         let current = versions.current.as_ref().ok_or(ClassMismatch::UnknownClass);
         let current = current.and_then(|class| class.check(method, has_key));
-        match (current, previous) {
-            (Ok(current), Some(previous)) if previous.retry_freedom() < current.retry_freedom() => {
+        match (current, previous, combined) {
+            (Ok(_), Some(_), Some(combined)) => Ok(combined),
+            (Ok(current), Some(previous), None) if previous.retry_freedom() < current.retry_freedom() => {
                 Ok(previous)
             }
-            (Err(_), Some(previous)) => Ok(previous),
-            (current, _) => current,
+            (Err(_), Some(previous), _) => Ok(previous),
+            (current, ..) => current,
         }
     }
 
--- a/crates/http-proxy/src/class_registry/tests.rs
+++ b/crates/http-proxy/src/class_registry/tests.rs
@@ -1,5 +1,6 @@
 use super::*;
 use settings::parse_settings;
+use settings::reload::ClassIndices;
 
 const KEYED: Idempotency = Idempotency::Keyed { scope: DedupScope::All, ttl: 9 };
 
@@ -59,3 +60,33 @@
     assert_eq!(classes.classes.len(), 2);
     assert_eq!(index(&classes, after, "read", Method::POST, false), Ok(2));
 }
+
+/// Guards against an effect that comes twice: the retry stays in the narrower scope, but goes on for the longer time, although
+/// backends of the other version have forgotten the key.
+#[test]
+fn applies_the_narrower_scope_and_the_shorter_ttl_of_two_versions() {
+    let keyed = |scope, ttl| Idempotency::Keyed { scope, ttl };
+    let wide_and_short = keyed(DedupScope::Zone, 5);
+    let narrow_and_long = keyed(DedupScope::Cell, 9);
+    for (previous, current) in [(wide_and_short, narrow_and_long), (narrow_and_long, wide_and_short)] {
+        let names = ["lift".to_owned()];
+        let mut indices = ClassIndices::new(&names).expect("names");
+        let first = settings(&[previous]);
+        let mut classes = ClassRegistry::default();
+        classes.update(0, &first, indices.named());
+        let second = indices.renew(&first, &settings(&[current]), &names).expect("good settings");
+        classes.update(100, &second, indices.named());
+        let applied = |classes: &ClassRegistry, at| {
+            let class = classes.find(at, "lift", &Method::POST, true).expect("a class");
+            second.classes[usize::from(class.index)].idempotency
+        };
+        let grace_end = 100 + PREVIOUS_CLASS_GRACE;
+        assert_eq!(applied(&classes, 100), keyed(DedupScope::Cell, 5), "{previous:?} {current:?}");
+        assert_eq!(applied(&classes, grace_end), current, "{previous:?} {current:?}");
+        // The same settings once more, as a second signal brings them, change nothing.
+        let third = indices.renew(&second, &settings(&[current]), &names).expect("good settings");
+        classes.update(200, &third, indices.named());
+        assert_eq!(third.classes, second.classes);
+        assert_eq!(applied(&classes, grace_end - 1), keyed(DedupScope::Cell, 5), "{previous:?} {current:?}");
+    }
+}
--- a/crates/settings/src/reload/classes.rs
+++ b/crates/settings/src/reload/classes.rs
@@ -2,7 +2,8 @@
 //!
 //! Open requests keep the class under which they arrived, so that a class keeps its index: an unchanged one stays where it
 //! is, a new or changed one gets an index behind all others, and a removed one leaves its index to the requests that it
-//! still has.
+//! still has. Where neither version of a changed class is the stricter one in all respects, their combination follows, for
+//! the requests that may be meant under either.
 
 use super::ReloadError;
 use balancer::api::{Class, Idempotency, Settings};
@@ -54,6 +55,10 @@
             } else {
                 classes.push(class.clone());
                 merged_names.push(Some(name.clone()));
+                if let Some(combined) = self.combined_class(name, class, &present.classes) {
+                    classes.push(combined);
+                    merged_names.push(None);
+                }
             }
         }
         if classes.len() > MAX_CLASSES {
@@ -71,6 +76,13 @@
         })
     }
 
+    /// The combination of a changed class with its present version, if neither is the stricter one in all respects.
+    fn combined_class(&self, name: &str, class: &Class, present: &[Class]) -> Option<Class> {
+        let (index, _) = self.named().find(|&(_, known)| known == name)?;
+        let idempotency = present[index].idempotency.combined_with(class.idempotency)?;
+        Some(Class { idempotency, ..class.clone() })
+    }
+
     /// The index of the present class of this name, if it is equal to `class`.
     fn unchanged_index(&self, name: &str, class: &Class, classes: &[Class]) -> Option<usize> {
         let is_unchanged = |&(index, known): &(usize, &str)| known == name && classes[index] == *class;
