--- a/crates/control-plane/src/runtime/snapshot.rs
+++ b/crates/control-plane/src/runtime/snapshot.rs
@@ -5,7 +5,7 @@
 use std::fs::{self, File, OpenOptions, TryLockError};
 use std::io::{self, Write};
 use std::path::{Path, PathBuf};
-use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
+use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
 use std::thread::JoinHandle;
 use tokio::sync::oneshot;
 use twox_hash::XxHash3_64;
@@ -56,9 +56,12 @@
     /// Another process holds the lock.
     #[error("{0} is held by another process; a source runs once")]
     Locked(PathBuf),
-    /// The writer thread has ended, or is busy.
+    /// The writer thread has ended.
     #[error("snapshots are no longer written")]
     WriterEnded,
+    /// A write is in progress and another one is queued.
+    #[error("an earlier snapshot is still being written")]
+    WriterBusy,
 }
 
 /// The persisted state of a source. Encoded with postcard, so the order of fields is the file format.
@@ -187,7 +190,10 @@
     pub async fn write(&self, snapshot: Snapshot) -> Result<(), SnapshotError> {
         let (result, written) = oneshot::channel();
         let requests = self.requests.as_ref().ok_or(SnapshotError::WriterEnded)?;
-        requests.try_send(WriteRequest { snapshot, result }).map_err(|_| SnapshotError::WriterEnded)?;
+        requests.try_send(WriteRequest { snapshot, result }).map_err(|error| match error {
+            TrySendError::Full(_) => SnapshotError::WriterBusy,
+            TrySendError::Disconnected(_) => SnapshotError::WriterEnded,
+        })?;
         written.await.map_err(|_| SnapshotError::WriterEnded)?
     }
 }
--- a/crates/control-plane/tests/snapshot.rs
+++ b/crates/control-plane/tests/snapshot.rs
@@ -5,7 +5,10 @@
 use control_plane::record::{Key, Kind, Record, State, Version};
 use control_plane::runtime::snapshot::{Snapshot, SnapshotError, SnapshotWriter, lock, read};
 use std::fs;
+use std::process::Command;
+use std::time::Duration;
 use test_directory::TestDirectory;
+use tokio::time::timeout;
 
 const FILE: &str = "source.snapshot";
 
@@ -76,3 +79,22 @@
     let error = failing.write(snapshot(4)).await.expect_err("no directory").to_string();
     assert!(error.contains("none/source.snapshot.new"), "{error}");
 }
+
+/// Guards against a write that finds another one queued and is reported as the end of the writer.
+#[tokio::test]
+async fn writer_reports_a_queued_write_as_busy() {
+    let directory = TestDirectory::new("snapshot-busy");
+    // The writer's thread waits here until the test reads.
+    let pipe = directory.file(FILE).with_extension("snapshot.new");
+    assert!(Command::new("mkfifo").arg(&pipe).status().expect("mkfifo runs").success());
+    let writer = SnapshotWriter::start(directory.file(FILE)).expect("a thread");
+    let abandoned = async || timeout(Duration::from_millis(100), writer.write(snapshot(4))).await;
+    assert!(abandoned().await.is_err(), "in progress");
+    assert!(abandoned().await.is_err(), "queued");
+    let refused = writer.write(snapshot(4)).await;
+    // Lets the two writes end, so that the writer's thread does.
+    let reader = fs::OpenOptions::new().read(true).open(&pipe);
+    drop(writer);
+    drop(reader);
+    assert!(matches!(refused, Err(SnapshotError::WriterBusy)), "{refused:?}");
+}
