--- a/crates/testbed/src/scale/fleet/simulated_proxies.rs
+++ b/crates/testbed/src/scale/fleet/simulated_proxies.rs
@@ -69,11 +69,11 @@
     pub async fn start(keeper: &Path, folder: &Folder, process_count: usize) -> Result<Self, ScaleError> {
         let mut processes = Vec::new();
         for number in 0..process_count {
-            let name = format!("hollow-{number}");
+            let name = format!("spec-{number}");
             let failed = |e| ScaleError::Start(name.clone(), e);
             let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.map_err(failed)?;
             let rig: SocketAddr = listener.local_addr().map_err(failed)?;
-            let arguments = ["scale".into(), "hollow".into(), rig.to_string().into()];
+            let arguments = ["scale".into(), "spec".into(), rig.to_string().into()];
             let mut program = Program::start(keeper, keeper, &arguments, folder, &name)?;
             let accepted = timeout(ANSWER_TIMEOUT, listener.accept()).await;
             let Ok(accepted) = accepted else {
@@ -110,17 +110,18 @@
     /// If a process has exited.
     pub async fn assign(
         &mut self,
-        hollows: Vec<SimulatedProxySpec>,
+        specs: Vec<SimulatedProxySpec>,
         fault: InjectedFault,
     ) -> Result<(), ScaleError> {
-        let mut by_house: Vec<Vec<SimulatedProxySpec>> = self.processes.iter().map(|_| Vec::new()).collect();
-        for hollow in hollows {
-            let process = self.process(hollow.number);
-            by_house[process].push(hollow);
+        let mut by_process: Vec<Vec<SimulatedProxySpec>> =
+            self.processes.iter().map(|_| Vec::new()).collect();
+        for spec in specs {
+            let process = self.process(spec.number);
+            by_process[process].push(spec);
         }
-        for (number, (process, hollows)) in self.processes.iter_mut().zip(by_house).enumerate() {
+        for (number, (process, specs)) in self.processes.iter_mut().zip(by_process).enumerate() {
             let fault = if number == 0 { fault } else { InjectedFault::None };
-            for part in hollows.chunks(MAX_PROXIES_PER_COMMAND) {
+            for part in specs.chunks(MAX_PROXIES_PER_COMMAND) {
                 process.send(&Command::Start { proxies: part.to_vec(), fault }).await?;
                 process.receive().await?;
             }
