--- a/crates/testbed/src/scale/fleet/simulated_proxies.rs
+++ b/crates/testbed/src/scale/fleet/simulated_proxies.rs
@@ -69,11 +69,11 @@
     pub async fn start(keeper: &Path, folder: &Folder, process_count: usize) -> Result<Self, ScaleError> {
         let mut processes = Vec::new();
         for number in 0..process_count {
-            let name = format!("spec-{number}");
+            let name = format!("hollow-{number}");
             let failed = |e| ScaleError::Start(name.clone(), e);
             let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.map_err(failed)?;
             let rig: SocketAddr = listener.local_addr().map_err(failed)?;
-            let arguments = ["scale".into(), "spec".into(), rig.to_string().into()];
+            let arguments = ["scale".into(), "hollow".into(), rig.to_string().into()];
             let mut program = Program::start(keeper, keeper, &arguments, folder, &name)?;
             let accepted = timeout(ANSWER_TIMEOUT, listener.accept()).await;
             let Ok(accepted) = accepted else {
