--- a/crates/balancer/src/balancer.rs
+++ b/crates/balancer/src/balancer.rs
@@ -91,8 +91,8 @@
         })
     }
 
-    /// Applies one event and appends the actions that follow from it. A `now` (microseconds) before that of an
-    /// earlier call counts as the latest one, so that no time is subtracted below zero.
+    /// Applies one event and appends the actions that follow from it. A `now` (microseconds) before that of
+    /// an earlier call counts as the latest one, so that no time is subtracted below zero.
     pub fn handle(&mut self, now: Micros, event: Event<'_>, out: &mut Vec<Action>) {
         let now = self.monotonic(now);
         match event {
