Count a request's wait in the listener's queue by the kernel's record of its last data

What callers saw: behind failing accepts and beyond the limit on connections, backends were sent deadlines up to 1.33 s and 3.8 s longer than their clients still waited (0.15 s is allowed), so backends worked for clients that had gone.

Cause: the accept loop knew only the time from the start of listening to the first empty queue; whoever waited in the kernel's queue behind a failed accept (20 ms each) or beyond the limit counted as arrived when accepted; drain_backlog passed no time.

Why it works: TCP_INFO of the accepted socket says when its last data came, whatever delayed the accept, so there is nothing to bookkeep and nobody counts the wait of another. It counts up to the first response of a connection; with a stall of the process the earlier of both times counts.

--- a/crates/http-proxy/src/client_connection.rs
+++ b/crates/http-proxy/src/client_connection.rs
@@ -15,6 +15,7 @@
 use self::socket_state::{is_quiet, is_read_closed};
 use crate::size_limits::MAX_REQUEST_HEAD_BYTES;
 use crate::stall_detector::StallDetector;
+use socket_io::time_since_last_data;
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::io;
@@ -86,10 +87,9 @@
     write_stalled_since: Cell<Option<Instant>>,
     framing: RefCell<Framing>,
     last_byte_at: Cell<Instant>,
-    /// Since when it may have waited with unread bytes before it was accepted.
-    queued_since: Cell<Option<Instant>>,
     stall_detector: Rc<StallDetector>,
     had_request: Cell<bool>,
+    had_response: Cell<bool>,
     /// What arrives now does not belong to the open request.
     request_is_complete: Cell<bool>,
     read_ahead: RefCell<ReadAheadBuffer>,
@@ -102,18 +102,18 @@
 }
 
 impl ClientConnection {
-    /// A connection that was accepted at `now`. `queued_since`: since when it may have waited with unread bytes.
+    /// A connection that was accepted at `now`.
     #[must_use]
-    pub fn new(now: Instant, stall_detector: Rc<StallDetector>, queued_since: Option<Instant>) -> Rc<Self> {
+    pub fn new(now: Instant, stall_detector: Rc<StallDetector>) -> Rc<Self> {
         Rc::new(Self {
             activity: Cell::new(Activity::Idle),
             activity_since: Cell::new(now),
             write_stalled_since: Cell::new(None),
             framing: RefCell::default(),
             last_byte_at: Cell::new(now),
-            queued_since: Cell::new(queued_since),
             stall_detector,
             had_request: Cell::new(false),
+            had_response: Cell::new(false),
             request_is_complete: Cell::new(false),
             read_ahead: RefCell::default(),
             presence_checked_at: Cell::new(None),
@@ -143,9 +143,16 @@
         self.framing.borrow_mut().receive(bytes);
     }
 
-    /// The earliest moment at which bytes may have arrived that are read at `now`.
-    fn earliest_arrival(&self, now: Instant) -> Instant {
-        self.queued_since.take().unwrap_or_else(|| self.stall_detector.earliest(now))
+    /// The earliest moment at which bytes may have arrived that were just read.
+    fn earliest_arrival(&self, stream: &TcpStream) -> Instant {
+        let now = Instant::now();
+        let earliest = self.stall_detector.earliest(now);
+        if self.had_response.get() {
+            return earliest;
+        }
+        // The connection may have waited in the listener's queue with them. Only the kernel knows for how long.
+        let age = time_since_last_data(stream).unwrap_or_default();
+        now.checked_sub(age).map_or(earliest, |received_at| received_at.min(earliest))
     }
 
     /// The earliest moment at which the last byte may have arrived.
@@ -165,6 +172,7 @@
     pub fn finish_request(&self, now: Instant) {
         let mut framing = self.framing.borrow_mut();
         framing.finish_request();
+        self.had_response.set(true);
         self.request_is_complete.set(false);
         let activity = if framing.has_pipelined_bytes() { Activity::ReadingHead } else { Activity::Idle };
         self.set_activity(activity, now);
@@ -234,7 +242,7 @@
         match io::Read::read(&mut &*SockRef::from(stream), &mut bytes) {
             Ok(0) => self.set_disconnected(),
             Ok(count) => {
-                let arrived_at = self.earliest_arrival(Instant::now());
+                let arrived_at = self.earliest_arrival(stream);
                 self.read_ahead.borrow_mut().push(&bytes[..count], arrived_at);
             }
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Err(error),
--- a/crates/http-proxy/src/client_connection/stream.rs
+++ b/crates/http-proxy/src/client_connection/stream.rs
@@ -46,8 +46,9 @@
             buf.put_slice(&read.bytes);
             read.arrived_at
         } else {
-            ready!(socket_io::poll_read(&self.stream.borrow(), cx, buf))?;
-            self.connection.earliest_arrival(Instant::now())
+            let stream = self.stream.borrow();
+            ready!(socket_io::poll_read(&stream, cx, buf))?;
+            self.connection.earliest_arrival(&stream)
         };
         let bytes = &buf.filled()[filled_before..];
         if !bytes.is_empty() {
--- a/crates/http-proxy/src/client_connection/tests.rs
+++ b/crates/http-proxy/src/client_connection/tests.rs
@@ -1,7 +1,7 @@
 use super::*;
 
 fn connection(now: Instant) -> Rc<ClientConnection> {
-    ClientConnection::new(now, StallDetector::new(now), None)
+    ClientConnection::new(now, StallDetector::new(now))
 }
 
 #[test]
--- a/crates/http-proxy/src/clients/accept.rs
+++ b/crates/http-proxy/src/clients/accept.rs
@@ -2,7 +2,6 @@
 
 use super::ClientConnections;
 use crate::client_connection::EvictionClass;
-use crate::client_connection::socket_state::is_quiet;
 use socket_io::retry;
 use socket2::SockRef;
 use std::io;
@@ -28,9 +27,8 @@
 }
 
 impl ClientConnections {
-    /// Accepts connections until the process ends. The first ones may have been queued since `listening_since`.
-    pub async fn accept(self: Rc<Self>, listener: Rc<TcpListener>, listening_since: Instant) {
-        let mut queued_since = Some(listening_since);
+    /// Accepts connections until the process ends.
+    pub async fn accept(self: Rc<Self>, listener: Rc<TcpListener>) {
         loop {
             // Beyond the limit clients stay in the kernel's accept queue and take no descriptors from backend connections.
             // Connections without an open request are evicted, so that the queue does not wait for them.
@@ -38,15 +36,8 @@
                 self.evict_one(EvictionClass::ReadingHead);
                 let _ = timeout(EVICTION_TIMEOUT, self.connection_closed.notified()).await;
             }
-            let accepted = std::future::poll_fn(|cx| {
-                let polled = listener.poll_accept(cx);
-                if polled.is_pending() {
-                    queued_since = None;
-                }
-                polled
-            });
-            match accepted.await {
-                Ok((stream, _)) => self.spawn_connection(stream, queued_since),
+            match listener.accept().await {
+                Ok((stream, _)) => self.spawn_connection(stream),
                 // Out of descriptors, or the client has disconnected already.
                 Err(error) => {
                     self.accept_failures.note(&error);
@@ -60,11 +51,10 @@
         }
     }
 
-    fn spawn_connection(self: &Rc<Self>, stream: TcpStream, queued_since: Option<Instant>) {
+    fn spawn_connection(self: &Rc<Self>, stream: TcpStream) {
         self.last_accept_at.set(Instant::now());
         self.open_connections.set(self.open_connections.get() + 1);
-        let queued_since = queued_since.filter(|_| !is_quiet(&stream));
-        tokio::task::spawn_local(Rc::clone(self).serve_connection(stream, queued_since));
+        tokio::task::spawn_local(Rc::clone(self).serve_connection(stream));
     }
 
     /// Accepts the connections in the kernel's accept queue, whether or not the runtime has polled the listener.
@@ -74,7 +64,7 @@
             match accept_now(listener) {
                 Ok(stream) => {
                     drain = BacklogDrain::Accepted;
-                    self.spawn_connection(stream, None);
+                    self.spawn_connection(stream);
                 }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
                 // Further connections may be queued behind the failed one.
--- a/crates/http-proxy/src/clients/serve.rs
+++ b/crates/http-proxy/src/clients/serve.rs
@@ -32,9 +32,9 @@
 
 impl ClientConnections {
     /// Serves a connection until it closes.
-    pub(super) async fn serve_connection(self: Rc<Self>, stream: TcpStream, queued_since: Option<Instant>) {
+    pub(super) async fn serve_connection(self: Rc<Self>, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
-        let connection = ClientConnection::new(Instant::now(), Rc::clone(&self.stall_detector), queued_since);
+        let connection = ClientConnection::new(Instant::now(), Rc::clone(&self.stall_detector));
         let index = self.connections.borrow_mut().insert(Rc::clone(&connection));
         let stream = Rc::new(RefCell::new(stream));
         let mode = self.serve_requests(&stream, &connection).await;
--- a/crates/proxy-server/src/server.rs
+++ b/crates/proxy-server/src/server.rs
@@ -183,7 +183,7 @@
         tokio::task::spawn_local(Rc::clone(&self.listener.stall_detector).run());
         tokio::task::spawn_local(log_unserved(self.handle.clone()));
         let clients = Rc::clone(&self.client_front_end.connections);
-        let accepting = clients.accept(Rc::clone(&self.listener.socket), self.listener.opened_at);
+        let accepting = clients.accept(Rc::clone(&self.listener.socket));
         tokio::task::spawn_local(async move {
             // What a discovery agent already holds counts as known: a request routed by an older list could reach a backend
             // that is leaving. Until the agent's first response or failure, clients wait in the kernel's queue.
--- a/crates/proxy-server/src/server/listener.rs
+++ b/crates/proxy-server/src/server/listener.rs
@@ -28,7 +28,6 @@
 pub(super) struct ClientListener {
     pub(super) socket: Rc<TcpListener>,
     pub(super) address: SocketAddr,
-    pub(super) opened_at: Instant,
     /// Detects stalls of this process from the moment at which it began to listen.
     pub(super) stall_detector: Rc<StallDetector>,
 }
@@ -41,10 +40,9 @@
     pub(super) async fn open(config: &Config) -> Result<Self, ProxyServerError> {
         let sharing = if config.console.is_some() { Sharing::Shared } else { Sharing::Exclusive };
         let (socket, address) = open_listener(config.listen, sharing).await?;
-        let opened_at = Instant::now();
+        let stall_detector = StallDetector::new(Instant::now());
         log(format_args!("{} listens on {address}", config.name));
-        let stall_detector = StallDetector::new(opened_at);
-        Ok(Self { socket: Rc::new(socket), address, opened_at, stall_detector })
+        Ok(Self { socket: Rc::new(socket), address, stall_detector })
     }
 }
 
--- a/crates/proxy-server/tests/faults/clocks.rs
+++ b/crates/proxy-server/tests/faults/clocks.rs
@@ -95,6 +95,90 @@
     assert!(excess.iter().all(|(_, over)| *over <= DEADLINE_TOLERANCE), "{excess:?}");
 }
 
+/// Guards against a deadline that leaves out the wait in the listener's queue while accepts fail, also during shutdown.
+#[test]
+fn deadline_counts_the_wait_behind_failing_accepts() {
+    for (round, stops) in [false, true].into_iter().enumerate() {
+        let discovery = Discovery::start();
+        let backend = Backend::start(|_| ok("fine"));
+        let name = format!("accepts-{round}");
+        let faults = Faults::new(&name);
+        let config = config(&name, &discovery).to_string();
+        let proxy = Launch::new(&name, &config).with_environment(faults.environment(1)).start();
+        discovery.post(true, &[entry("s-1", backend.address, "active", 0)]);
+        assert_eq!(proxy.client().exchange(HEALTH_REQUEST).status(), 200);
+        faults.set(Fault::Accept, 1_000);
+        let mut client = proxy.client();
+        client.send(&timed("charge", "1"));
+        let sent = HashMap::from([("1".to_owned(), Instant::now())]);
+        if stops {
+            proxy.terminate();
+        }
+        thread::sleep(Duration::from_millis(400));
+        faults.set(Fault::Accept, 0);
+        assert_eq!(client.receive().status(), 200);
+        let excess = excess_deadlines(&backend, &sent);
+        assert!(!excess.is_empty(), "it is sent on");
+        assert!(excess.iter().all(|(_, over)| *over <= DEADLINE_TOLERANCE), "stops: {stops}: {excess:?}");
+    }
+}
+
+/// Guards against counting the wait of one request behind failing accepts for those after it, which are rejected with time left.
+#[test]
+fn requests_behind_failing_accepts_are_served_while_they_have_time() {
+    const CLIENT_TIMEOUT: Duration = Duration::from_millis(1_350);
+    let discovery = Discovery::start();
+    let backend = Backend::start(|_| ok("fine"));
+    let faults = Faults::new("one-in-twenty");
+    let config = config("one-in-twenty", &discovery).to_string();
+    let proxy = Launch::new("one-in-twenty", &config).with_environment(faults.environment(1)).start();
+    discovery.post(true, &[entry("s-1", backend.address, "active", 0)]);
+    faults.set(Fault::Accept, 950);
+    let mut violations = Vec::new();
+    for number in 0..40 {
+        let mut client = proxy.client();
+        let text = timed("charge", &number.to_string()).replace("5000", "1350");
+        client.send(&text);
+        let sent_at = Instant::now();
+        let status = client.receive().status();
+        let elapsed = sent_at.elapsed();
+        if status != 200 && elapsed + DEADLINE_TOLERANCE < CLIENT_TIMEOUT {
+            violations.push(format!("{number}: {status} after {elapsed:?}"));
+        }
+        for received in backend.requests.try_iter() {
+            let passed = received.received_at.saturating_duration_since(sent_at);
+            let over = time_left(&received).saturating_sub(CLIENT_TIMEOUT.saturating_sub(passed));
+            if over > DEADLINE_TOLERANCE {
+                violations.push(format!("{number}: a deadline {over:?} too long after {passed:?}"));
+            }
+        }
+    }
+    assert!(violations.is_empty(), "{violations:?}");
+}
+
+/// Guards against a deadline that leaves out the wait in the listener's queue beyond the limit on connections.
+#[test]
+fn deadline_counts_the_wait_beyond_the_connection_limit() {
+    let discovery = Discovery::start();
+    let backend =
+        Backend::start(|_| BackendAction::DelayThen(Duration::from_millis(400), Box::new(ok("late"))));
+    let mut config = config("beyond", &discovery);
+    config["limits"]["sockets"] = json!(48);
+    let proxy = Proxy::start_with_config("beyond", &config);
+    discovery.post(true, &[entry("s-1", backend.address, "active", 0)]);
+    let mut sent = HashMap::new();
+    let mut clients = Vec::new();
+    for number in 0..60 {
+        let mut client = proxy.client();
+        client.send(&timed("charge", &number.to_string()));
+        sent.insert(number.to_string(), Instant::now());
+        clients.push(client);
+    }
+    let excess = excess_deadlines(&backend, &sent);
+    assert!(!excess.is_empty(), "some are sent on");
+    assert!(excess.iter().all(|(_, over)| *over <= DEADLINE_TOLERANCE), "{excess:?}");
+}
+
 /// The grace, the deadline and `coldUs` are spans of real time: a re-included backend is in slow start for that time, whatever
 /// the wall clock of the replacing process shows.
 #[test]
--- a/crates/socket-io/src/lib.rs
+++ b/crates/socket-io/src/lib.rs
@@ -1,6 +1,8 @@
 //! Sockets and system calls in the presence of partial transfers, interrupted calls and transient errors.
 
+mod arrival;
 pub mod retry;
 mod stream;
 
+pub use arrival::time_since_last_data;
 pub use stream::{Stream, poll_read, poll_write, poll_write_vectored};
