Injected faults look up their functions once, so that no signal handler waits for a lock

Cause: inject.c called dlsym in each function. A signal that arrives while a thread releases the loader's lock finds it neither free nor owned, and the handler's own send waits in dlsym for the thread it has interrupted.

Why it works: functions and the seed are looked up in the constructor, the library is bound at the start and its thread-local word lies in the static block; nothing on a call's path takes a lock or allocates.

A process of a test that does not end is now described by the state of its threads, also before the soak's kill.

--- a/crates/proxy-server/tests/faults/fault_injection.rs
+++ b/crates/proxy-server/tests/faults/fault_injection.rs
@@ -39,7 +39,8 @@
         let path = env::temp_dir().join(format!("haventrack-inject-{}.so", std::process::id()));
         let source = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/faults/inject.c");
         let built =
-            Command::new("cc").args(["-shared", "-fPIC", "-O1", "-o"]).arg(&path).arg(source).status();
+            // Bound at the start, so that the first call of a function looks up nothing.
+            Command::new("cc").args(["-shared", "-fPIC", "-O1", "-Wl,-z,now", "-o"]).arg(&path).arg(source).status();
         assert!(built.expect("cc, as for linking").success());
         path
     })
--- a/crates/proxy-server/tests/faults/inject.c
+++ b/crates/proxy-server/tests/faults/inject.c
@@ -1,13 +1,17 @@
 /* Makes system calls of one process fail in the ways that Linux documents, as a test says while the process runs.
  *
  * Preloaded into the proxy by tests. The test shares a page of numbers with it (the file that FAULTS names): each word
- * says how many calls in a thousand fail, or how far the wall clock is off. Nothing else of the process changes. */
+ * says how many calls in a thousand fail, or how far the wall clock is off. Nothing else of the process changes.
+ *
+ * A signal handler may call any of these functions, also while its own thread is inside one. So they take no lock, allocate
+ * nothing and look up nothing: all of that is done once, before the program starts. */
 #define _GNU_SOURCE
 #include <dlfcn.h>
 #include <errno.h>
 #include <fcntl.h>
 #include <stdarg.h>
 #include <stdint.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/epoll.h>
@@ -24,10 +28,23 @@
     SYNC, FILE_WRITE, FILE_OPEN, FILE_READ, FILE_RENAME, WALL_SECONDS, LISTEN, WORDS
 };
 
-static volatile int32_t *words;
-static __thread uint64_t state;
+/* The functions that the program would call without this library. */
+#define EACH_FUNCTION(apply) \
+    apply(recv) apply(read) apply(send) apply(writev) apply(write) apply(accept4) apply(socket) apply(connect) apply(listen) apply(epoll_wait) \
+    apply(fdatasync) apply(fsync) apply(rename) apply(open64) apply(clock_gettime)
+#define DECLARE(name) static __typeof__(&name) real_##name;
+#define LOOK_UP(name) real_##name = (__typeof__(&name))dlsym(RTLD_NEXT, #name);
+EACH_FUNCTION(DECLARE)
 
-__attribute__((constructor)) static void share(void) {
+static volatile int32_t *words;
+static uint64_t seed = 1;
+/* In the thread's static block: other models may allocate it at the first use. */
+static __thread uint64_t state __attribute__((tls_model("initial-exec")));
+
+__attribute__((constructor)) static void prepare(void) {
+    EACH_FUNCTION(LOOK_UP)
+    const char *text = getenv("FAULTS_SEED");
+    if (text) seed = strtoull(text, NULL, 10);
     const char *path = getenv("FAULTS");
     int fd = path ? open(path, O_RDONLY) : -1;
     if (fd < 0) return;
@@ -37,10 +54,7 @@
 }
 
 static uint32_t chance(void) {
-    if (!state) {
-        const char *seed = getenv("FAULTS_SEED");
-        state = (seed ? strtoull(seed, NULL, 10) : 1) * 0x9e3779b97f4a7c15u + (uintptr_t)&state + 1;
-    }
+    if (!state) state = seed * 0x9e3779b97f4a7c15u + (uintptr_t)&state + 1;
     state ^= state << 13, state ^= state >> 7, state ^= state << 17;
     return (uint32_t)(state >> 32);
 }
@@ -54,7 +68,6 @@
 }
 
 #define FAILS(word, ...) fails(word, (const int[]){__VA_ARGS__}, sizeof((const int[]){__VA_ARGS__}) / sizeof(int))
-#define REAL(name) ((__typeof__(&name))dlsym(RTLD_NEXT, #name))
 
 /* Connections alone: a read that does not wait is never interrupted, and the runtime's own pipe for signals takes an error
  * there for the end of the process. */
@@ -76,12 +89,12 @@
         if (FAILS(INTERRUPTED_READ, EINTR)) return -1;
         if (hits(SHORT_READ)) size = part(size);
     }
-    return REAL(recv)(fd, bytes, size, flags);
+    return real_recv(fd, bytes, size, flags);
 }
 
 ssize_t read(int fd, void *bytes, size_t size) {
     if (words && words[FILE_READ] && is_file(fd) && FAILS(FILE_READ, EIO)) return -1;
-    return REAL(read)(fd, bytes, size);
+    return real_read(fd, bytes, size);
 }
 
 ssize_t send(int fd, const void *bytes, size_t size, int flags) {
@@ -89,56 +102,56 @@
         if (FAILS(INTERRUPTED_WRITE, EINTR)) return -1;
         if (hits(SHORT_WRITE)) size = part(size);
     }
-    return REAL(send)(fd, bytes, size, flags);
+    return real_send(fd, bytes, size, flags);
 }
 
 ssize_t writev(int fd, const struct iovec *pieces, int count) {
     if (is_connection(fd)) {
         if (FAILS(INTERRUPTED_WRITE, EINTR)) return -1;
-        if (count > 0 && pieces[0].iov_len > 0 && hits(SHORT_WRITE)) return REAL(send)(fd, pieces[0].iov_base, part(pieces[0].iov_len), MSG_NOSIGNAL);
+        if (count > 0 && pieces[0].iov_len > 0 && hits(SHORT_WRITE)) return real_send(fd, pieces[0].iov_base, part(pieces[0].iov_len), MSG_NOSIGNAL);
     }
-    return REAL(writev)(fd, pieces, count);
+    return real_writev(fd, pieces, count);
 }
 
 /* Half of a write to a file may arrive before the disk is full. */
 ssize_t write(int fd, const void *bytes, size_t size) {
     if (words && words[FILE_WRITE] && fd > 2 && is_file(fd) && hits(FILE_WRITE)) {
-        if (size > 1 && chance() % 2) return REAL(write)(fd, bytes, size / 2);
+        if (size > 1 && chance() % 2) return real_write(fd, bytes, size / 2);
         errno = ENOSPC;
         return -1;
     }
-    return REAL(write)(fd, bytes, size);
+    return real_write(fd, bytes, size);
 }
 
 int accept4(int fd, struct sockaddr *address, socklen_t *size, int flags) {
     if (FAILS(ACCEPT, ECONNABORTED, ENFILE, EMFILE, ENOBUFS, ENOMEM, EINTR, EPROTO, ENETDOWN)) return -1;
-    return REAL(accept4)(fd, address, size, flags);
+    return real_accept4(fd, address, size, flags);
 }
 
 int accept(int fd, struct sockaddr *address, socklen_t *size) { return accept4(fd, address, size, 0); }
 
 int socket(int domain, int type, int protocol) {
     if (domain == AF_INET && FAILS(SOCKET, ENFILE, EMFILE, ENOBUFS, ENOMEM)) return -1;
-    return REAL(socket)(domain, type, protocol);
+    return real_socket(domain, type, protocol);
 }
 
 int connect(int fd, const struct sockaddr *address, socklen_t size) {
     if (FAILS(CONNECT, EADDRNOTAVAIL, ENETUNREACH, EHOSTUNREACH, EAGAIN, ETIMEDOUT, EINTR)) return -1;
     if (FAILS(CONNECT_LOCAL, EADDRNOTAVAIL, ENETUNREACH, ENOBUFS, EAGAIN)) return -1;
-    return REAL(connect)(fd, address, size);
+    return real_connect(fd, address, size);
 }
 
-int listen(int fd, int backlog) { return FAILS(LISTEN, ENOBUFS, ENFILE, ENOMEM) ? -1 : REAL(listen)(fd, backlog); }
+int listen(int fd, int backlog) { return FAILS(LISTEN, ENOBUFS, ENFILE, ENOMEM) ? -1 : real_listen(fd, backlog); }
 
 int epoll_wait(int fd, struct epoll_event *events, int most, int timeout) {
-    return FAILS(WAIT, EINTR) ? -1 : REAL(epoll_wait)(fd, events, most, timeout);
+    return FAILS(WAIT, EINTR) ? -1 : real_epoll_wait(fd, events, most, timeout);
 }
 
-int fdatasync(int fd) { return FAILS(SYNC, EIO) ? -1 : REAL(fdatasync)(fd); }
+int fdatasync(int fd) { return FAILS(SYNC, EIO) ? -1 : real_fdatasync(fd); }
 
-int fsync(int fd) { return FAILS(SYNC, EIO) ? -1 : REAL(fsync)(fd); }
+int fsync(int fd) { return FAILS(SYNC, EIO) ? -1 : real_fsync(fd); }
 
-int rename(const char *old, const char *new) { return FAILS(FILE_RENAME, EIO, ENOSPC) ? -1 : REAL(rename)(old, new); }
+int rename(const char *old, const char *new) { return FAILS(FILE_RENAME, EIO, ENOSPC) ? -1 : real_rename(old, new); }
 
 int open64(const char *path, int flags, ...) {
     va_list more;
@@ -148,11 +161,11 @@
     if (words && words[FILE_OPEN] && path[0] == '/' && strstr(path, "haventrack") &&
         (flags & O_CREAT ? FAILS(FILE_OPEN, ENOSPC, EIO, ENFILE) : FAILS(FILE_OPEN, EIO, ENFILE, EMFILE)))
         return -1;
-    return REAL(open64)(path, flags, mode);
+    return real_open64(path, flags, mode);
 }
 
 int clock_gettime(clockid_t clock, struct timespec *time) {
-    int result = REAL(clock_gettime)(clock, time);
+    int result = real_clock_gettime(clock, time);
     if (!result && words && clock == CLOCK_REALTIME) time->tv_sec += words[WALL_SECONDS];
     return result;
 }
--- a/crates/proxy-server/tests/faults/main.rs
+++ b/crates/proxy-server/tests/faults/main.rs
@@ -8,6 +8,7 @@
 mod interrupted_messages;
 mod retry_windows;
 mod shutdown;
+mod signals;
 mod soak;
 #[path = "../support/mod.rs"]
 mod support;
--- a/crates/proxy-server/tests/faults/soak.rs
+++ b/crates/proxy-server/tests/faults/soak.rs
@@ -288,6 +288,7 @@
         }
         thread::sleep(Duration::from_millis(2));
     }
+    println!("not ended at the kill:\n{}", process_state(proxy.child.id()));
     let _ = proxy.child.kill();
     Shutdown { signalled_at, ended_at: Instant::now(), is_clean: false }
 }
--- a/crates/proxy-server/tests/support/mod.rs
+++ b/crates/proxy-server/tests/support/mod.rs
@@ -7,6 +7,7 @@
 mod configuration;
 mod discovery;
 mod http_message;
+mod process_state;
 mod proxy;
 
 pub use backend::{Backend, BackendAction, listener_with_full_queue, ok};
@@ -14,6 +15,7 @@
 pub use configuration::{config, config_with_console, config_with_deadline, entry, settings};
 pub use discovery::Discovery;
 pub use http_message::{HttpMessage, read_message, response_bytes, write_bytes};
+pub use process_state::process_state;
 pub use proxy::{Launch, Proxy, empty_folder, send_command, spawn_proxy, spawn_with_external_processor};
 
 use std::time::Duration;
--- a/crates/proxy-server/tests/support/proxy.rs
+++ b/crates/proxy-server/tests/support/proxy.rs
@@ -4,12 +4,18 @@
 use super::client::Client;
 use super::configuration::config;
 use super::discovery::Discovery;
+use super::process_state::process_state;
 use serde_json::Value;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, ChildStderr, Command, ExitStatus, Stdio};
-use std::{env, fs};
+use std::time::{Duration, Instant};
+use std::{env, fs, thread};
+
+/// How long a process may take to end: longer than any deadline in these tests.
+const EXIT_TIMEOUT: Duration = Duration::from_secs(60);
+const EXIT_CHECK_INTERVAL: Duration = Duration::from_millis(2);
 
 /// An empty folder for one test.
 pub fn empty_folder(name: &str) -> PathBuf {
@@ -217,8 +223,21 @@
         text
     }
 
+    /// Waits until the process has ended.
     pub fn wait(&mut self) -> ExitStatus {
-        self.child.wait().expect("the proxy ends")
+        self.wait_within(EXIT_TIMEOUT)
+    }
+
+    /// Waits until the process has ended. One that does not end in time fails the test, which reports its state.
+    pub fn wait_within(&mut self, limit: Duration) -> ExitStatus {
+        let end = Instant::now() + limit;
+        loop {
+            if let Some(status) = self.child.try_wait().expect("a status") {
+                return status;
+            }
+            assert!(Instant::now() < end, "no exit within {limit:?}:\n{}", process_state(self.child.id()));
+            thread::sleep(EXIT_CHECK_INTERVAL);
+        }
     }
 }
 
