A large fleet's process without a list requests it and starts its watch in one call

Cause: the service does some 91 calls in 10 s.

Change: the first call, like the one after a failure, requests the changes since the configuration's list, if that is complete. For an empty list these are all entries, and the call starts the watch: 70 calls.

--- a/crates/http-proxy/src/discovery.rs
+++ b/crates/http-proxy/src/discovery.rs
@@ -74,8 +74,6 @@
     starts_watch: bool,
     /// The configuration's list has a ready backend.
     cached_list_is_usable: bool,
-    /// The revision of the configuration's list in a large fleet, if that list is complete and from the present service.
-    cached_revision: Option<u64>,
     /// The configuration's list, until it is handed to the balancer or replaced: a newer one may come from an agent first.
     cached_list: Option<Vec<NamedBackend>>,
     /// In a row.
@@ -102,7 +100,6 @@
             is_watching: false,
             starts_watch: true,
             cached_list_is_usable: false,
-            cached_revision: None,
             cached_list: None,
             failures: 0,
             oversized_lists: 0,
@@ -116,9 +113,11 @@
         Rc::clone(&self.call_ended)
     }
 
-    /// Takes the configuration's list, which may be outdated: the next call requests a snapshot, or only the changes where a
-    /// large fleet that restarts would request more snapshots than the service can write. With an agent the balancer gets
-    /// this list only once a call has failed.
+    /// Takes the configuration's list, which may be outdated: the next call requests a snapshot. With an agent the balancer
+    /// gets this list only once a call has failed.
+    ///
+    /// In a large fleet the next call requests the changes since that list, if it is complete, be it an empty one: that call
+    /// starts the watch as well, and a fleet that restarts has more calls to make than its service can answer in time.
     pub fn start_from(&mut self, known_backends: Value) {
         let list = self.translator.list(known_backends).unwrap_or_else(|error| {
             log(format_args!("`known`: {error}"));
@@ -134,11 +133,8 @@
         let is_large_fleet =
             self.on_request.as_ref().is_some_and(|on_request| on_request.schedule.is_large_fleet());
         if is_large_fleet {
-            self.cached_revision = list.is_complete.then_some(list.revision);
-        }
-        if is_large_fleet && self.cached_list_is_usable {
-            self.revision = self.cached_revision;
-            self.has_backend_list.set(true);
+            self.revision = list.is_complete.then_some(list.revision);
+            self.has_backend_list.set(self.cached_list_is_usable);
         }
         self.cached_list = Some(list.backends);
         // Also an empty list: the balancer requests a subscription in response.
@@ -171,7 +167,6 @@
     fn reset_for_new_address(&mut self) {
         self.client.disconnect();
         (self.revision, self.address_changed, self.starts_watch) = (None, true, true);
-        self.cached_revision = None;
         (self.is_watching, self.failures, self.oversized_lists) = (false, 0, 0);
         if let Some(on_request) = &mut self.on_request {
             on_request.schedule.address_changed();
@@ -283,9 +278,6 @@
 
     /// Prepares the next call. The balancer decides when a shared service is called; an agent is called after a delay, for a
     /// snapshot, since another agent may count its revisions anew.
-    ///
-    /// In a large fleet without a list, a service that failed one snapshot may be overloaded by them. The changes since the
-    /// configuration's list, be it an empty one, are as good, and start the watch in one call instead of two.
     async fn recover(&mut self, oversized_delay: Option<Duration>) {
         self.publish_cached_list();
         // Without discovery an outdated list is better than none.
@@ -294,7 +286,6 @@
         }
         self.call_ended.notify_one();
         if self.on_request.is_some() {
-            self.revision = self.revision.or(self.cached_revision);
             if let Some(delay) = oversized_delay {
                 sleep(delay).await;
             }
