A backend that restarts on another machine kind has the limit of that kind

What callers saw: a backend whose id came back on a smaller machine was sent what the larger one carried, and samples went to the limits of a kind that was not its own.

Cause: update_backend applied zone, cell, readiness and start of a list's entry, and not its machine kind.

Why it works: the kind is applied with the other facts, before the start is compared. Each other field of an entry was read: applied by every update, but for size, which no decision uses.

--- a/crates/balancer/src/balancer/membership.rs
+++ b/crates/balancer/src/balancer/membership.rs
@@ -45,6 +45,7 @@
 
     fn update_backend(&mut self, now: Micros, entry: &Backend) {
         let is_listed = entry.readiness != Readiness::Removed;
+        let machine_kind = self.known_machine_kind(entry);
         let index = match self.fleet.backends.find(entry.id) {
             Some(index) => index,
             None if !is_listed => return,
@@ -58,6 +59,7 @@
         backend.is_ready = entry.readiness == Readiness::Ready;
         backend.zone = entry.zone;
         backend.cell = entry.cell;
+        backend.machine_kind = machine_kind;
         if backend.started_at != entry.started_at {
             backend.started_at = entry.started_at;
             self.reset_backend(now, index);
@@ -65,13 +67,17 @@
     }
 
     fn add_backend(&mut self, now: Micros, entry: &Backend) -> usize {
-        let last_kind = self.settings.machine_kind_count.saturating_sub(1);
-        let backend = BackendState::new(now, entry, entry.machine_kind.min(last_kind));
+        let backend = BackendState::new(now, entry, self.known_machine_kind(entry));
         let index = self.fleet.backends.add(entry.id, backend);
         self.reset_backend(now, index);
         index
     }
 
+    /// The machine kind of an entry, within the kinds that the settings name.
+    fn known_machine_kind(&self, entry: &Backend) -> u8 {
+        entry.machine_kind.min(self.settings.machine_kind_count.saturating_sub(1))
+    }
+
     /// A backend's process is new: what was known of the one before no longer holds.
     fn reset_backend(&mut self, now: Micros, index: usize) {
         let backend = &mut self.fleet.backends[index];
--- a/crates/balancer/tests/membership.rs
+++ b/crates/balancer/tests/membership.rs
@@ -34,3 +34,31 @@
     proxy.finish(first.request, first.attempt, Outcome::Error);
     proxy.advance(3 * SECOND);
 }
+
+/// Guards against a backend that restarts on another kind of machine and keeps the limit of the kind it had first.
+#[test]
+fn restarted_backend_has_the_limit_of_its_present_machine_kind() {
+    let limits = |proxy: &EmulatedProxy| {
+        let learned = proxy.balancer.learned_state().backends;
+        [0, 2].map(|id| learned.iter().find(|learned| learned.backend == id).map(|learned| learned.limit))
+    };
+    let of_kind = |id, machine_kind| Backend { machine_kind, ..backend(id) };
+    let settings = Settings { machine_kind_count: 2, ..settings() };
+    let mut proxy = EmulatedProxy::new(settings, [of_kind(0, 0), of_kind(2, 1)]);
+    let kind_limit = |limit| LearnedKindLimit { limit, is_doubling: false };
+    let learned = LearnedState {
+        machine_kinds: vec![kind_limit(4.0), kind_limit(32.0)],
+        ..proxy.balancer.learned_state()
+    };
+    assert!(proxy.balancer.restore(proxy.now, &learned));
+    proxy.advance(20 * SECOND);
+    let restarted_at = Some(proxy.now - 15 * SECOND);
+    let restarted = |id, machine_kind| Backend { started_at: restarted_at, ..of_kind(id, machine_kind) };
+    proxy.update_membership(MembershipUpdate::Delta(&[restarted(0, 0), restarted(2, 1)]));
+    let same_kinds = limits(&proxy);
+    let moved_at = Some(proxy.now - 12 * SECOND);
+    let moved = |id, machine_kind| Backend { started_at: moved_at, ..of_kind(id, machine_kind) };
+    proxy.update_membership(MembershipUpdate::Delta(&[moved(0, 1), moved(2, 0)]));
+    assert!(same_kinds[0] < same_kinds[1], "{same_kinds:?}");
+    assert_eq!(limits(&proxy), [same_kinds[1], same_kinds[0]]);
+}
