--- a/crates/proxy-server/tests/faults/disk.rs
+++ b/crates/proxy-server/tests/faults/disk.rs
@@ -102,3 +102,26 @@
         drop(new);
     }
 }
+
+/// Guards against an exclusion that ends with the process it was given to, where the disk refuses until that process has ended.
+#[test]
+fn exclusion_lasts_over_an_upgrade_with_a_disk_that_refuses_throughout() {
+    for fault in [Fault::FileWrite, Fault::FileRename] {
+        let pair = TwoBackends::new();
+        let name = format!("refuses-throughout-{fault:?}");
+        let (folder, faults) = (empty_folder(&name), Faults::new(&name));
+        let (mut old, console) = start(&folder, "old", &config_with_console(&pair.discovery, None), &faults);
+        pair.post();
+        assert!(pair.count_served_by_a(&old, "before", 20) > 0, "it serves");
+        faults.set(fault, 1_000);
+        let answer = send_command(console, "exclude s-a\n");
+        let config = config_with_console(&pair.discovery, Some(old.address));
+        let (new, console) = start(&folder, "new", &config, &faults);
+        while !send_command(console, "readyz\n").starts_with("SUCCESS") {}
+        old.terminate();
+        assert!(old.wait().success());
+        sleep_until(Instant::now() + GRACE);
+        let late = pair.count_served_by_a(&new, "replaced", 40);
+        assert_eq!(late, 0, "{fault:?}: the answer was {answer}");
+    }
+}
