Testbed: HTTP messages, addresses and reserved ports in the field's terms

Cause: http1.rs and address.rs still had the house style: a bare pair for method and target, a boolean for the kind of a message, "held" ports, "told" addresses, caps without units.

Change: Message has method, path and headers, MessageKind names the side that sends, write_response, MAX_HEAD_BYTES, ReservedPort, process_address, relay_address. No behaviour changed; no assertion was dropped.

--- a/crates/testbed/src/address.rs
+++ b/crates/testbed/src/address.rs
@@ -1,67 +1,69 @@
-//! Loopback addresses of the laboratory: each process has one of its own, and one under which relays know it, so that
-//! whoever is at the other end of a connection or datagram is told by its address. Ports are held before anybody listens
-//! at them, and while nobody does.
+//! Loopback addresses of the fleet's processes. Each process has one of its own and one under which relays represent it, so
+//! that the other end of a connection or datagram is identified by its address. Ports are reserved before and while no process
+//! listens on them.
 
 use socket2::{Domain, Socket, Type};
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
 
-/// Second octet from which processes have their addresses, and from which relays stand for them.
-const PROCESSES: u8 = 32;
-const RELAYS: u8 = 96;
-/// The most that each of the two ranges holds.
-pub const MOST: usize = 64 * 256;
+/// The second octet of the first process's address.
+const FIRST_PROCESS_OCTET: u8 = 32;
+/// The second octet of the address under which relays represent the first process.
+const FIRST_RELAY_OCTET: u8 = 96;
+/// How many second octets each of the two ranges has.
+const OCTETS: u8 = 64;
+/// The size of each of the two ranges.
+pub const MAX_PROCESSES: usize = OCTETS as usize * 256;
 
 fn address(first: u8, number: usize) -> Ipv4Addr {
-    let [.., high, low] = (number % MOST).to_be_bytes();
+    let [.., high, low] = (number % MAX_PROCESSES).to_be_bytes();
     Ipv4Addr::new(127, first + high, low, 1)
 }
 
 fn number(first: u8, address: Ipv4Addr) -> Option<usize> {
     let [127, high, low, 1] = address.octets() else { return None };
-    let high = high.checked_sub(first).filter(|&high| high < 64)?;
+    let high = high.checked_sub(first).filter(|&high| high < OCTETS)?;
     Some(usize::from(high) << 8 | usize::from(low))
 }
 
 /// The address of a process.
 #[must_use]
-pub fn of_process(number: usize) -> Ipv4Addr {
-    address(PROCESSES, number)
+pub fn process_address(number: usize) -> Ipv4Addr {
+    address(FIRST_PROCESS_OCTET, number)
 }
 
-/// The process that has this address.
+/// The process with this address, if it is that of one.
 #[must_use]
-pub fn process_of(address: Ipv4Addr) -> Option<usize> {
-    number(PROCESSES, address)
+pub fn process_with(address: Ipv4Addr) -> Option<usize> {
+    number(FIRST_PROCESS_OCTET, address)
 }
 
-/// The address under which relays stand for a process.
+/// The address under which relays represent a process.
 #[must_use]
-pub fn at_relay(number: usize) -> Ipv4Addr {
-    address(RELAYS, number)
+pub fn relay_address(number: usize) -> Ipv4Addr {
+    address(FIRST_RELAY_OCTET, number)
 }
 
-/// The process for which this address stands.
+/// The process that relays represent under this address, if it is such an address.
 #[must_use]
-pub fn relayed(address: Ipv4Addr) -> Option<usize> {
-    number(RELAYS, address)
+pub fn process_behind_relay(address: Ipv4Addr) -> Option<usize> {
+    number(FIRST_RELAY_OCTET, address)
 }
 
-/// An address that is kept for whoever is to listen there: a process that is not started yet, a box that is dead. A
-/// socket that is bound and does not listen keeps the kernel from giving the port to another one that asks for any, be
-/// it a connection, a relay on all addresses or another laboratory; those that ask for this address and set
-/// `SO_REUSEADDR`, as servers do, get it all the same.
+/// A port that is reserved for a process that is not started yet or has ended. A bound socket that does not listen keeps the
+/// kernel from giving the port to a connection or to a listener that asks for any port; one that asks for this address and sets
+/// `SO_REUSEADDR`, as servers do, still gets it.
 #[derive(Debug)]
-pub struct Held {
+pub struct ReservedPort {
     address: SocketAddr,
     _socket: Socket,
 }
 
-impl Held {
-    /// Any port of an address.
+impl ReservedPort {
+    /// Reserves any port of an address.
     ///
     /// # Errors
-    /// Where the kernel gives none.
+    /// Where the kernel has none.
     pub fn new(ip: Ipv4Addr) -> io::Result<Self> {
         let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
         socket.set_reuse_address(true)?;
@@ -70,7 +72,7 @@
         Ok(Self { address, _socket: socket })
     }
 
-    /// The address.
+    /// The address with the port.
     #[must_use]
     pub fn address(&self) -> SocketAddr {
         self.address
--- a/crates/testbed/src/address/tests.rs
+++ b/crates/testbed/src/address/tests.rs
@@ -4,8 +4,8 @@
 #[test]
 fn reserved_ports_are_not_assigned_as_ephemeral_ports() {
     // So many that a kernel that did not mind would give some of 28,000 ports twice, almost surely.
-    let ip = of_process(MOST - 2);
-    let held: Vec<Held> = (0..400).map(|_| Held::new(ip).expect("a port")).collect();
+    let ip = process_address(MAX_PROCESSES - 2);
+    let held: Vec<ReservedPort> = (0..400).map(|_| ReservedPort::new(ip).expect("a port")).collect();
     let taken: std::collections::HashSet<u16> = held.iter().map(|held| held.address().port()).collect();
     assert_eq!(taken.len(), held.len());
     for _ in 0..400 {
@@ -23,12 +23,15 @@
 
 #[test]
 fn each_process_has_two_unique_addresses() {
-    for process in [0, 1, 255, 256, 1_999, MOST - 1] {
-        assert_eq!(process_of(of_process(process)), Some(process));
-        assert_eq!(relayed(at_relay(process)), Some(process));
-        assert_eq!((process_of(at_relay(process)), relayed(of_process(process))), (None, None));
-        assert!(of_process(process).is_loopback() && at_relay(process).is_loopback());
+    for process in [0, 1, 255, 256, 1_999, MAX_PROCESSES - 1] {
+        assert_eq!(process_with(process_address(process)), Some(process));
+        assert_eq!(process_behind_relay(relay_address(process)), Some(process));
+        assert_eq!(
+            (process_with(relay_address(process)), process_behind_relay(process_address(process))),
+            (None, None)
+        );
+        assert!(process_address(process).is_loopback() && relay_address(process).is_loopback());
     }
-    assert_eq!(process_of(Ipv4Addr::LOCALHOST), None);
-    assert_eq!(process_of(Ipv4Addr::new(10, 32, 0, 1)), None);
+    assert_eq!(process_with(Ipv4Addr::LOCALHOST), None);
+    assert_eq!(process_with(Ipv4Addr::new(10, 32, 0, 1)), None);
 }
--- a/crates/testbed/src/cost.rs
+++ b/crates/testbed/src/cost.rs
@@ -85,8 +85,10 @@
                 tokio::task::spawn_local(async move {
                     let _ = stream.set_nodelay(true);
                     let mut buffer = Vec::new();
-                    while let Ok(Some(_)) = http1::read(&mut stream, &mut buffer, false).await {
-                        if http1::answer(&mut stream, "200 OK", "", b"served").await.is_err() {
+                    while let Ok(Some(_)) =
+                        http1::read(&mut stream, &mut buffer, http1::MessageKind::Request).await
+                    {
+                        if http1::write_response(&mut stream, "200 OK", "", b"served").await.is_err() {
                             return;
                         }
                     }
@@ -114,14 +116,16 @@
             let list = list.clone();
             tokio::task::spawn_local(async move {
                 let mut buffer = Vec::new();
-                while let Ok(Some(request)) = http1::read(&mut stream, &mut buffer, false).await {
-                    let body = if request.target.1.contains("after=") {
+                while let Ok(Some(request)) =
+                    http1::read(&mut stream, &mut buffer, http1::MessageKind::Request).await
+                {
+                    let body = if request.path.contains("after=") {
                         sleep(Duration::from_secs(2)).await;
                         r#"{"revision":1,"complete":false,"members":[]}"#
                     } else {
                         &list
                     };
-                    if http1::answer(&mut stream, "200 OK", "", body.as_bytes()).await.is_err() {
+                    if http1::write_response(&mut stream, "200 OK", "", body.as_bytes()).await.is_err() {
                         return;
                     }
                 }
@@ -214,7 +218,7 @@
                      X-Service-Class: read\r\nX-Time-Left-Ms: 5000\r\n\r\n"
                 );
                 stream.write_all(request.as_bytes()).await?;
-                let answer = http1::read(&mut stream, &mut buffer, true).await?;
+                let answer = http1::read(&mut stream, &mut buffer, http1::MessageKind::Response).await?;
                 let answer = answer.filter(|a| a.status == 200 && a.body == b"served");
                 let Some(answer) = answer else {
                     return Err(io::Error::other("an answer that is not a box's"));
@@ -312,7 +316,10 @@
     for _ in 0..500 {
         let mut stream = TcpStream::connect(address).await?;
         stream.write_all(b"GET /up HTTP/1.1\r\nHost: rig\r\n\r\n").await?;
-        if http1::read(&mut stream, &mut Vec::new(), true).await?.is_some_and(|a| a.status == 200) {
+        if http1::read(&mut stream, &mut Vec::new(), http1::MessageKind::Response)
+            .await?
+            .is_some_and(|a| a.status == 200)
+        {
             return Ok(());
         }
         sleep(Duration::from_millis(20)).await;
--- a/crates/testbed/src/fleet/link_relays.rs
+++ b/crates/testbed/src/fleet/link_relays.rs
@@ -23,7 +23,7 @@
     pub(super) fn proxy_targets(&self, agents: &[SocketAddr]) -> Vec<SocketAddr> {
         let Some((port, targets)) = &self.discovery else { return agents.to_vec() };
         let _ = targets.set(agents.to_vec());
-        let relayed = |proxy| SocketAddr::from((crate::address::at_relay(proxy), *port));
+        let relayed = |proxy| SocketAddr::from((crate::address::relay_address(proxy), *port));
         (0..agents.len()).map(relayed).collect()
     }
 }
--- a/crates/testbed/src/fleet/processes.rs
+++ b/crates/testbed/src/fleet/processes.rs
@@ -2,7 +2,7 @@
 //! Each is identified by its child handle, never by name.
 
 use super::{FleetError, process_guard};
-use crate::address::{self, Held};
+use crate::address::{self, ReservedPort};
 use crate::script::Script;
 use crate::sockets::up;
 use nix::sys::signal::{Signal, kill};
@@ -88,7 +88,7 @@
 /// One proxy process.
 pub(crate) struct Process {
     child: Child,
-    console: Held,
+    console: ReservedPort,
     log: PathBuf,
     stopped: bool,
     terminated: bool,
@@ -98,7 +98,7 @@
 /// What the successive processes of one proxy share: addresses and folder.
 pub(crate) struct ProxyInstance {
     proxy: usize,
-    listen: Held,
+    listen: ReservedPort,
     discovery: SocketAddr,
     folder: PathBuf,
     starts: u64,
@@ -108,7 +108,7 @@
     pub(crate) fn new(folder: &Folder, proxy: usize, discovery: SocketAddr) -> io::Result<Self> {
         let folder = folder.0.join(format!("p{proxy}"));
         fs::create_dir_all(folder.join("tmp"))?;
-        let listen = Held::new(address::of_process(proxy))?;
+        let listen = ReservedPort::new(address::process_address(proxy))?;
         Ok(Self { proxy, listen, discovery, folder, starts: 0 })
     }
 
@@ -123,7 +123,7 @@
     /// Where an address, a file or the process can't be created.
     pub(crate) fn start(&mut self, script: &Script, machine: &Machine, known: &Value) -> io::Result<Process> {
         self.starts += 1;
-        let console = Held::new(address::of_process(self.proxy))?;
+        let console = ReservedPort::new(address::process_address(self.proxy))?;
         let seed =
             script.seed.wrapping_add(self.proxy as u64).wrapping_mul(0x9e37_79b9).wrapping_add(self.starts);
         let config = json!({"name": format!("p{}", self.proxy), "listen": self.listen().to_string(),
--- a/crates/testbed/src/fleet/relay.rs
+++ b/crates/testbed/src/fleet/relay.rs
@@ -52,7 +52,7 @@
 /// The target of a relay for each proxy; `None` while there is none yet.
 pub type Target = Rc<dyn Fn(usize) -> Option<SocketAddr>>;
 
-/// Starts a relay of streams on this thread and returns its port. Callers connect to `address::at_relay(proxy)`, which
+/// Starts a relay of streams on this thread and returns its port. Callers connect to `address::relay_address(proxy)`, which
 /// identifies the proxy's link, whichever side connects.
 ///
 /// # Errors
@@ -70,7 +70,7 @@
     tokio::task::spawn_local(async move {
         while let Ok((stream, _)) = listener.accept().await {
             let called = stream.local_addr().ok().and_then(|at| match at {
-                SocketAddr::V4(at) => address::relayed(*at.ip()),
+                SocketAddr::V4(at) => address::process_behind_relay(*at.ip()),
                 SocketAddr::V6(_) => None,
             });
             let Some(proxy) = called else { continue };
@@ -190,7 +190,7 @@
 ) -> io::Result<Vec<SocketAddr>> {
     let mut relay_sockets = Vec::new();
     for process in 0..real.len() {
-        relay_sockets.push(Rc::new(UdpSocket::bind((address::at_relay(process), 0)).await?));
+        relay_sockets.push(Rc::new(UdpSocket::bind((address::relay_address(process), 0)).await?));
     }
     let addresses =
         relay_sockets.iter().map(|relay_socket| relay_socket.local_addr()).collect::<io::Result<Vec<_>>>()?;
@@ -254,7 +254,7 @@
     /// The process that sends from this address.
     fn sender_index(&self, sender: SocketAddr) -> Option<usize> {
         let SocketAddr::V4(sender) = sender else { return None };
-        address::process_of(*sender.ip()).filter(|&process| self.real.get(process) == Some(&sender))
+        address::process_with(*sender.ip()).filter(|&process| self.real.get(process) == Some(&sender))
     }
 
     /// Sends a datagram after a delay in microseconds; drops it where too many are in flight.
--- a/crates/testbed/src/http1.rs
+++ b/crates/testbed/src/http1.rs
@@ -1,105 +1,122 @@
-//! HTTP/1.1 as the stand-ins speak it: plain enough to break it on purpose. Heads are parsed by `httparse`.
+//! HTTP/1.1 for emulated peers: simple enough to violate it on purpose. Heads are parsed by `httparse`.
 
 use std::io;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
-/// The largest head and the largest body that a stand-in takes, in bytes.
-const HEAD_CAP: usize = 16 * 1024;
-const BODY_CAP: usize = 1024 * 1024;
-/// The most fields of a head.
-const FIELDS: usize = 64;
+const MAX_HEAD_BYTES: usize = 16 * 1024;
+const MAX_BODY_BYTES: usize = 1024 * 1024;
+const MAX_HEADERS: usize = 64;
 
-/// A message as it came.
+/// Which side of an exchange sends a message.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum MessageKind {
+    /// A client.
+    Request,
+    /// A server.
+    Response,
+}
+
+/// A received message.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Message {
-    /// Method and target of a request; empty for an answer.
-    pub target: (String, String),
-    /// Status of an answer; 0 for a request.
+    /// The method of a request; empty for a response.
+    pub method: String,
+    /// The path and query of a request; empty for a response.
+    pub path: String,
+    /// The status of a response; 0 for a request.
     pub status: u16,
     /// Names in lower case, and values.
-    pub fields: Vec<(String, String)>,
+    pub headers: Vec<(String, String)>,
     /// The body.
     pub body: Vec<u8>,
 }
 
 impl Message {
-    /// The value of a field.
+    /// The value of a header, by its name in lower case.
     #[must_use]
-    pub fn field(&self, name: &str) -> Option<&str> {
-        self.fields.iter().find(|(n, _)| n == name).map(|(_, value)| value.as_str())
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.iter().find(|(n, _)| n == name).map(|(_, value)| value.as_str())
     }
 
-    /// The id that the rig's clients give a request.
+    /// The id that the testbed's clients give a request.
     #[must_use]
     pub fn id(&self) -> Option<u64> {
-        self.field("x-correlation-id").and_then(|v| u64::from_str_radix(v, 16).ok())
+        self.header("x-correlation-id").and_then(|v| u64::from_str_radix(v, 16).ok())
     }
 
-    /// Whether the sender closes the connection behind it.
+    /// Whether the sender closes the connection after it.
     #[must_use]
     pub fn closes(&self) -> bool {
-        self.field("connection").is_some_and(|v| v.eq_ignore_ascii_case("close"))
+        self.header("connection").is_some_and(|v| v.eq_ignore_ascii_case("close"))
     }
 }
 
-/// Whether a head is whole: its length and the message with no body yet.
+/// Parses a head: its length and the message without its body; `None` while it is incomplete.
 ///
 /// # Errors
-/// Where it is none, or too large.
-pub fn parse_head(bytes: &[u8], answer: bool) -> io::Result<Option<(usize, Message)>> {
-    let broken = |problem: String| io::Error::new(io::ErrorKind::InvalidData, problem);
-    let mut fields = [httparse::EMPTY_HEADER; FIELDS];
+/// Where it is malformed or larger than 16 KiB.
+pub fn parse_head(bytes: &[u8], kind: MessageKind) -> io::Result<Option<(usize, Message)>> {
+    let invalid = |problem: String| io::Error::new(io::ErrorKind::InvalidData, problem);
+    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
     let mut message = Message::default();
-    let parsed = if answer {
-        let mut head = httparse::Response::new(&mut fields);
-        let parsed = head.parse(bytes).map_err(|e| broken(e.to_string()))?;
-        message.status = head.code.unwrap_or(0);
-        parsed
-    } else {
-        let mut head = httparse::Request::new(&mut fields);
-        let parsed = head.parse(bytes).map_err(|e| broken(e.to_string()))?;
-        let text = |part: Option<&str>| part.unwrap_or_default().to_owned();
-        message.target = (text(head.method), text(head.path));
-        parsed
+    let parsed = match kind {
+        MessageKind::Response => {
+            let mut head = httparse::Response::new(&mut headers);
+            let parsed = head.parse(bytes).map_err(|e| invalid(e.to_string()))?;
+            message.status = head.code.unwrap_or(0);
+            parsed
+        }
+        MessageKind::Request => {
+            let mut head = httparse::Request::new(&mut headers);
+            let parsed = head.parse(bytes).map_err(|e| invalid(e.to_string()))?;
+            message.method = head.method.unwrap_or_default().into();
+            message.path = head.path.unwrap_or_default().into();
+            parsed
+        }
     };
     let httparse::Status::Complete(length) = parsed else {
-        return if bytes.len() > HEAD_CAP { Err(broken("the head is too large".into())) } else { Ok(None) };
+        let is_too_large = bytes.len() > MAX_HEAD_BYTES;
+        return if is_too_large { Err(invalid("the head is too large".into())) } else { Ok(None) };
     };
-    for field in fields.iter().take_while(|f| !f.name.is_empty()) {
-        let value = String::from_utf8_lossy(field.value).trim().to_owned();
-        message.fields.push((field.name.to_ascii_lowercase(), value));
+    for header in headers.iter().take_while(|header| !header.name.is_empty()) {
+        let value = String::from_utf8_lossy(header.value).trim().to_owned();
+        message.headers.push((header.name.to_ascii_lowercase(), value));
     }
     Ok(Some((length, message)))
 }
 
-/// Reads one message; `None` where the connection ends before its first byte. `buffer` keeps what comes behind.
+/// Reads one message; `None` where the connection ends before its first byte. `buffer` holds the bytes after it.
 ///
 /// # Errors
-/// Where the connection breaks, or what comes is no message.
-pub async fn read(stream: &mut TcpStream, buffer: &mut Vec<u8>, answer: bool) -> io::Result<Option<Message>> {
-    Ok(read_sized(stream, buffer, answer).await?.map(|(_, message)| message))
+/// Where the connection breaks or the message is invalid.
+pub async fn read(
+    stream: &mut TcpStream,
+    buffer: &mut Vec<u8>,
+    kind: MessageKind,
+) -> io::Result<Option<Message>> {
+    Ok(read_sized(stream, buffer, kind).await?.map(|(_, message)| message))
 }
 
-/// As [`read`], with the bytes that the message had on the wire.
+/// As [`read`], with the number of bytes that the message had on the wire.
 ///
 /// # Errors
-/// Where the connection breaks, or what comes is no message.
+/// Where the connection breaks or the message is invalid.
 pub async fn read_sized(
     stream: &mut TcpStream,
     buffer: &mut Vec<u8>,
-    answer: bool,
+    kind: MessageKind,
 ) -> io::Result<Option<(usize, Message)>> {
     let (length, mut message) = loop {
-        if let Some(whole) = parse_head(buffer, answer)? {
-            break whole;
+        if let Some(head) = parse_head(buffer, kind)? {
+            break head;
         }
         if stream.read_buf(buffer).await? == 0 {
             return if buffer.is_empty() { Ok(None) } else { Err(io::ErrorKind::UnexpectedEof.into()) };
         }
     };
-    let body = message.field("content-length").map_or(Ok(0), str::parse::<usize>);
-    let body = body.ok().filter(|&b| b <= BODY_CAP).ok_or(io::ErrorKind::InvalidData)?;
+    let body = message.header("content-length").map_or(Ok(0), str::parse::<usize>);
+    let body = body.ok().filter(|&b| b <= MAX_BODY_BYTES).ok_or(io::ErrorKind::InvalidData)?;
     while buffer.len() < length + body {
         if stream.read_buf(buffer).await? == 0 {
             return Err(io::ErrorKind::UnexpectedEof.into());
@@ -110,12 +127,18 @@
     Ok(Some((length + body, message)))
 }
 
-/// Writes an answer.
+/// Writes a response. `headers` holds complete lines, each with its line end.
 ///
 /// # Errors
 /// Where the connection breaks.
-pub async fn answer(stream: &mut TcpStream, status: &str, more: &str, body: &[u8]) -> io::Result<()> {
-    let mut bytes = format!("HTTP/1.1 {status}\r\n{more}Content-Length: {}\r\n\r\n", body.len()).into_bytes();
+pub async fn write_response(
+    stream: &mut TcpStream,
+    status: &str,
+    headers: &str,
+    body: &[u8],
+) -> io::Result<()> {
+    let mut bytes =
+        format!("HTTP/1.1 {status}\r\n{headers}Content-Length: {}\r\n\r\n", body.len()).into_bytes();
     bytes.extend_from_slice(body);
     stream.write_all(&bytes).await
 }
--- a/crates/testbed/src/http1/tests.rs
+++ b/crates/testbed/src/http1/tests.rs
@@ -4,12 +4,13 @@
 fn parses_only_complete_heads() {
     let text = b"GET /a?b=c HTTP/1.1\r\nX-One: 1\r\nContent-Length: 3\r\n\r\nabc";
     for cut in 0..text.len() - 3 {
-        assert_eq!(parse_head(&text[..cut], false).expect("no fault"), None, "{cut} bytes");
+        assert_eq!(parse_head(&text[..cut], MessageKind::Request).expect("no fault"), None, "{cut} bytes");
     }
-    let (length, message) = parse_head(text, false).expect("no fault").expect("whole");
-    assert_eq!((length, message.field("x-one")), (text.len() - 3, Some("1")));
-    assert_eq!(message.target, ("GET".into(), "/a?b=c".into()));
-    assert!(parse_head(b"HTP/9 what\r\n\r\n", true).is_err());
+    let (length, message) =
+        parse_head(text, MessageKind::Request).expect("no fault").expect("a complete head");
+    assert_eq!((length, message.header("x-one")), (text.len() - 3, Some("1")));
+    assert_eq!((message.method.as_str(), message.path.as_str()), ("GET", "/a?b=c"));
+    assert!(parse_head(b"HTP/9 what\r\n\r\n", MessageKind::Response).is_err());
 }
 
 #[test]
@@ -21,6 +22,6 @@
             let at = rng.usize(0..bytes.len());
             bytes[at] = rng.u8(..);
         }
-        let _ = (parse_head(&bytes, true), parse_head(&bytes, false));
+        let _ = (parse_head(&bytes, MessageKind::Response), parse_head(&bytes, MessageKind::Request));
     }
 }
--- a/crates/testbed/src/scale/fleet/lists.rs
+++ b/crates/testbed/src/scale/fleet/lists.rs
@@ -44,14 +44,16 @@
             let (list, told) = (whole.clone(), Rc::clone(&counted));
             tokio::task::spawn_local(async move {
                 let mut buffer = Vec::new();
-                while let Ok(Some(request)) = http1::read(&mut stream, &mut buffer, false).await {
-                    let body = if request.target.1.contains("after=") {
+                while let Ok(Some(request)) =
+                    http1::read(&mut stream, &mut buffer, http1::MessageKind::Request).await
+                {
+                    let body = if request.path.contains("after=") {
                         sleep(WATCH).await;
                         r#"{"revision":1,"complete":false,"members":[]}"#
                     } else {
                         &list
                     };
-                    if http1::answer(&mut stream, "200 OK", "", body.as_bytes()).await.is_err() {
+                    if http1::write_response(&mut stream, "200 OK", "", body.as_bytes()).await.is_err() {
                         return;
                     }
                     told.set(told.get() + body.len() as u64);
--- a/crates/testbed/src/scale/fleet/programs.rs
+++ b/crates/testbed/src/scale/fleet/programs.rs
@@ -2,7 +2,7 @@
 //! run.
 
 use super::ScaleError;
-use crate::address::Held;
+use crate::address::ReservedPort;
 use crate::fleet::{Folder, cpu_s, memory, process_guard};
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
@@ -136,7 +136,7 @@
 pub struct ControlNode {
     /// Its name.
     pub name: String,
-    address: Held,
+    address: ReservedPort,
     role: &'static str,
     file: PathBuf,
     /// While it runs.
@@ -165,7 +165,7 @@
         config: impl FnOnce(SocketAddr) -> String,
     ) -> Result<Self, ScaleError> {
         let failed = |error| ScaleError::Start(name.to_owned(), error);
-        let address = Held::new(Ipv4Addr::LOCALHOST).map_err(failed)?;
+        let address = ReservedPort::new(Ipv4Addr::LOCALHOST).map_err(failed)?;
         let file = starter.folder.path().join(format!("{name}.toml"));
         fs::write(&file, config(address.address())).map_err(failed)?;
         Ok(Self { name: name.into(), address, role, file, program: None })
--- a/crates/testbed/src/scale/fleet/real_proxies.rs
+++ b/crates/testbed/src/scale/fleet/real_proxies.rs
@@ -170,14 +170,14 @@
     });
     let _ = stream.set_nodelay(true);
     let mut buffer = Vec::new();
-    while let Ok(Some(_)) = http1::read(&mut stream, &mut buffer, false).await {
+    while let Ok(Some(_)) = http1::read(&mut stream, &mut buffer, http1::MessageKind::Request).await {
         if let Some(number) = number {
             let mut arrivals = seen.arrivals.lock().unwrap_or_else(PoisonError::into_inner);
             if arrivals.len() < MAX_ARRIVALS {
                 arrivals.push((messages::now(), number as u32));
             }
         }
-        if http1::answer(&mut stream, "200 OK", "", b"served").await.is_err() {
+        if http1::write_response(&mut stream, "200 OK", "", b"served").await.is_err() {
             return;
         }
     }
@@ -202,7 +202,7 @@
                  X-Service-Class: read\r\nX-Time-Left-Ms: {DEADLINE_MS}\r\n\r\n"
             );
             stream.write_all(request.as_bytes()).await?;
-            let answer = http1::read(&mut stream, &mut Vec::new(), true).await?;
+            let answer = http1::read(&mut stream, &mut Vec::new(), http1::MessageKind::Response).await?;
             Ok::<_, io::Error>((stream, answer))
         };
         add(&seen.asked);
@@ -306,7 +306,7 @@
         let read = async {
             let mut stream = TcpStream::connect(agent.address()).await?;
             stream.write_all(b"GET /discovery/hosts HTTP/1.1\r\nHost: rig\r\n\r\n").await?;
-            http1::read(&mut stream, &mut Vec::new(), true).await
+            http1::read(&mut stream, &mut Vec::new(), http1::MessageKind::Response).await
         };
         let answer = timeout(ANSWER_TIMEOUT, read).await.map_err(|e| failed(e.to_string()))?;
         let answer = answer?.filter(|answer| answer.status == 200);
--- a/crates/testbed/src/scale/slopes/agent.rs
+++ b/crates/testbed/src/scale/slopes/agent.rs
@@ -188,9 +188,11 @@
 async fn connection(state: Rc<State>, mut stream: TcpStream) {
     let _ = stream.set_nodelay(true);
     let mut buffer = Vec::new();
-    while let Ok(Some((length, request))) = http1::read_sized(&mut stream, &mut buffer, false).await {
+    while let Ok(Some((length, request))) =
+        http1::read_sized(&mut stream, &mut buffer, http1::MessageKind::Request).await
+    {
         state.bytes.set(state.bytes.get() + length as u64);
-        let query = request.target.1.split_once('?').map_or("", |(_, query)| query);
+        let query = request.path.split_once('?').map_or("", |(_, query)| query);
         let number = |name: &str| {
             let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
             pairs.find(|(n, _)| *n == name).and_then(|(_, value)| value.parse::<u64>().ok())
--- a/crates/testbed/src/scale/slopes/backends.rs
+++ b/crates/testbed/src/scale/slopes/backends.rs
@@ -101,12 +101,14 @@
     let _ = stream.set_nodelay(true);
     let mut buffer = Vec::new();
     let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", BODY.len());
-    while let Ok(Some((length, _))) = http1::read_sized(&mut stream, &mut buffer, false).await {
+    while let Ok(Some((length, _))) =
+        http1::read_sized(&mut stream, &mut buffer, http1::MessageKind::Request).await
+    {
         counts.bytes.fetch_add((length + head.len() + BODY.len()) as u64, Ordering::AcqRel);
         counts.held.fetch_add(1, Ordering::AcqRel);
         let told = answers.wait_for(|&answer| answer).await.is_ok();
         counts.held.fetch_sub(1, Ordering::AcqRel);
-        if !told || http1::answer(&mut stream, "200 OK", "", BODY).await.is_err() {
+        if !told || http1::write_response(&mut stream, "200 OK", "", BODY).await.is_err() {
             return;
         }
     }
--- a/crates/testbed/src/scale/slopes/busy.rs
+++ b/crates/testbed/src/scale/slopes/busy.rs
@@ -155,7 +155,7 @@
     for _ in 0..size {
         let mut stream = TcpStream::connect(subject.address()).await?;
         stream.write_all(b"GET /up HTTP/1.1\r\nHost: rig\r\n\r\n").await?;
-        let answer = http1::read(&mut stream, &mut Vec::new(), true).await?;
+        let answer = http1::read(&mut stream, &mut Vec::new(), http1::MessageKind::Response).await?;
         if answer.is_none_or(|answer| answer.status != 200 || answer.closes()) {
             return Err(ScaleError::Lost { lost: size - clients.len(), all: size });
         }
--- a/crates/testbed/src/scale/slopes/load.rs
+++ b/crates/testbed/src/scale/slopes/load.rs
@@ -78,7 +78,7 @@
 /// The bytes of a request and its answer; `None`: not a backend's answer.
 async fn exchange(conn: &mut Conn, request: &str) -> io::Result<Option<usize>> {
     conn.stream.write_all(request.as_bytes()).await?;
-    let answer = http1::read_sized(&mut conn.stream, &mut conn.buffer, true).await?;
+    let answer = http1::read_sized(&mut conn.stream, &mut conn.buffer, http1::MessageKind::Response).await?;
     let served = answer.filter(|(_, answer)| answer.status == 200 && answer.body == BODY);
     Ok(served.map(|(length, _)| length + request.len()))
 }
--- a/crates/testbed/src/scale/slopes/probe.rs
+++ b/crates/testbed/src/scale/slopes/probe.rs
@@ -96,8 +96,8 @@
     bytes.clear();
     let mut part = [0; 1_024];
     loop {
-        if let Some((head, message)) = http1::parse_head(bytes, true)? {
-            let body = message.field("content-length").and_then(|v| v.parse::<usize>().ok()).unwrap_or(0);
+        if let Some((head, message)) = http1::parse_head(bytes, http1::MessageKind::Response)? {
+            let body = message.header("content-length").and_then(|v| v.parse::<usize>().ok()).unwrap_or(0);
             if message.status != 200 {
                 return Err(io::Error::other(format!("the probe was answered {}", message.status)));
             }
--- a/crates/testbed/src/scale/slopes/subject.rs
+++ b/crates/testbed/src/scale/slopes/subject.rs
@@ -1,7 +1,7 @@
 //! The process that is measured: the real program, started so that it ends with this one, and the kernel's account of it.
 
 use super::ScaleError;
-use crate::address::Held;
+use crate::address::ReservedPort;
 use crate::fleet::{Folder, process_guard};
 use crate::http1;
 use nix::sys::signal::{Signal, kill};
@@ -93,7 +93,7 @@
 /// The process.
 pub(super) struct Subject {
     child: Child,
-    listen: Held,
+    listen: ReservedPort,
     discovery: SocketAddr,
     descriptors: u64,
     shape: Shape,
@@ -120,7 +120,7 @@
         shape: Shape,
     ) -> Result<Self, ScaleError> {
         let folder = Folder::new()?;
-        let listen = Held::new(Ipv4Addr::LOCALHOST)?;
+        let listen = ReservedPort::new(Ipv4Addr::LOCALHOST)?;
         let (file, log) = (folder.path().join("config.json"), folder.path().join("log"));
         fs::write(&file, config(&shape, 0, listen.address(), discovery, descriptors))?;
         let child = process_guard::command(keeper, descriptors, proxy)
@@ -147,7 +147,7 @@
         let asked = async {
             let mut stream = TcpStream::connect(self.address()).await?;
             stream.write_all(b"GET /up HTTP/1.1\r\nHost: rig\r\nConnection: close\r\n\r\n").await?;
-            http1::read(&mut stream, &mut Vec::new(), true).await
+            http1::read(&mut stream, &mut Vec::new(), http1::MessageKind::Response).await
         };
         asked.await.ok().flatten().is_some_and(|answer| answer.status == 200)
     }
--- a/crates/testbed/src/sockets/backends.rs
+++ b/crates/testbed/src/sockets/backends.rs
@@ -2,7 +2,7 @@
 
 use super::shard::ShardContext;
 use super::shared_state::BackendStatus;
-use crate::address::Held;
+use crate::address::ReservedPort;
 use crate::backend_model::{Admission, BackendModel};
 use crate::http1::{self, Message};
 use crate::invariant_checker::Observation;
@@ -28,7 +28,7 @@
 pub(crate) struct EmulatedBackend {
     context: Rc<ShardContext>,
     index: usize,
-    address: Held,
+    address: ReservedPort,
     /// `None` while the emulated process is down.
     model: RefCell<Option<BackendModel>>,
     /// Wakes the connection whose job the model has completed, by job number.
@@ -61,7 +61,7 @@
     /// Where the address can't be reserved or listened on.
     pub(crate) fn start(context: &Rc<ShardContext>, index: usize) -> io::Result<Rc<Self>> {
         let (high, low) = (index / 200, index % 200);
-        let address = Held::new(Ipv4Addr::new(127, 0, 10 + high as u8, 1 + low as u8))?;
+        let address = ReservedPort::new(Ipv4Addr::new(127, 0, 10 + high as u8, 1 + low as u8))?;
         let listener = listen(address.address())?;
         let model = BackendModel::new(context.state.script.box_spec(index), context.state.now(), None);
         let backend = Rc::new(Self {
@@ -172,7 +172,7 @@
     /// Serves requests in sequence; an error stands for a connection that breaks.
     async fn serve(&self, stream: &mut TcpStream, buffer: &mut Vec<u8>) -> io::Result<()> {
         let mut reused = false;
-        while let Some(request) = http1::read(stream, buffer, false).await? {
+        while let Some(request) = http1::read(stream, buffer, http1::MessageKind::Request).await? {
             let id = request.id();
             if reused && self.fault_applies(BackendFaultKind::Silence, id) {
                 // Silent until the proxy closes the connection.
@@ -216,7 +216,7 @@
         let arrival = |id: u64| self.context.state.plan.arrivals.get(usize::try_from(id).ok()?);
         let work = id.and_then(arrival).map(|arrival| arrival.work);
         let (Some(id), Some(work)) = (id, work) else {
-            return http1::answer(stream, "404 Not Found", "", b"").await;
+            return http1::write_response(stream, "404 Not Found", "", b"").await;
         };
         self.advance();
         let (backend, job) = (self.index, self.next.get());
@@ -227,7 +227,8 @@
             None => return Err(io::ErrorKind::ConnectionReset.into()),
             Some(Admission::Rejected) => {
                 self.context.record(Observation::AttemptRejected { id, backend });
-                return http1::answer(stream, "503 Service Unavailable", "X-Unprocessed: 1\r\n", b"").await;
+                return http1::write_response(stream, "503 Service Unavailable", "X-Unprocessed: 1\r\n", b"")
+                    .await;
             }
             Some(Admission::Accepted | Admission::Swallowed) => {}
         }
@@ -252,7 +253,7 @@
             stream.write_all(b"HTP/9 what\r\n\r\n").await?;
             return Err(io::ErrorKind::InvalidData.into());
         }
-        http1::answer(stream, "200 OK", "", served.as_bytes()).await
+        http1::write_response(stream, "200 OK", "", served.as_bytes()).await
     }
 
     pub(crate) fn apply_fault(&self, fault: &BackendFault, starts: bool) {
--- a/crates/testbed/src/sockets/clients.rs
+++ b/crates/testbed/src/sockets/clients.rs
@@ -43,7 +43,7 @@
 pub(crate) async fn up(address: SocketAddr) -> io::Result<u16> {
     let mut stream = TcpStream::connect(address).await?;
     stream.write_all(b"GET /up HTTP/1.1\r\nHost: rig\r\n\r\n").await?;
-    let response = http1::read(&mut stream, &mut Vec::new(), true).await?;
+    let response = http1::read(&mut stream, &mut Vec::new(), http1::MessageKind::Response).await?;
     Ok(response.map_or(0, |a| a.status))
 }
 
@@ -215,11 +215,14 @@
             let (id, class, proxy) = (planned.id, planned.class, planned.proxy);
             self.context.record_at(at, Observation::RequestSent { id, class, end: deadline, proxy });
         }
-        let response = match http1::read(&mut connection.stream, &mut connection.buffer, true).await {
-            Ok(response) => response,
-            Err(_) if connection.buffer.is_empty() => None,
-            Err(error) => return Err(error),
-        };
+        let response =
+            match http1::read(&mut connection.stream, &mut connection.buffer, http1::MessageKind::Response)
+                .await
+            {
+                Ok(response) => response,
+                Err(_) if connection.buffer.is_empty() => None,
+                Err(error) => return Err(error),
+            };
         let Some(response) = response else { return Ok(None) };
         if !response.closes() {
             self.idle[planned.proxy].borrow_mut().push(connection);
--- a/crates/testbed/src/sockets/discovery.rs
+++ b/crates/testbed/src/sockets/discovery.rs
@@ -72,7 +72,7 @@
     let (listener, queue) = (listen_on_loopback()?, Rc::new(RefCell::new(queue)));
     let port = listener.local_addr()?.port();
     for proxy in 0..script.fleet.proxies {
-        let address = SocketAddr::from((address::at_relay(proxy), port));
+        let address = SocketAddr::from((address::relay_address(proxy), port));
         agents.push(DiscoveryAgent::new(context, proxy, address, Some(Rc::clone(&queue))));
     }
     let serving = agents.clone();
@@ -80,7 +80,7 @@
         while let Ok((stream, _)) = listener.accept().await {
             // The destination address identifies the proxy.
             let called_proxy = match stream.local_addr() {
-                Ok(SocketAddr::V4(at)) => address::relayed(*at.ip()),
+                Ok(SocketAddr::V4(at)) => address::process_behind_relay(*at.ip()),
                 _ => None,
             };
             if let Some(agent) = called_proxy.and_then(|proxy| serving.get(proxy)) {
@@ -172,12 +172,13 @@
 
     async fn connection(self: Rc<Self>, mut stream: TcpStream) {
         let mut buffer = Vec::new();
-        while let Ok(Some(request)) = http1::read(&mut stream, &mut buffer, false).await {
+        while let Ok(Some(request)) = http1::read(&mut stream, &mut buffer, http1::MessageKind::Request).await
+        {
             self.context.record(Observation::DiscoveryCalled { proxy: self.proxy });
             let after = number(&request, "after");
             let wait = Duration::from_millis(number(&request, "wait_ms").unwrap_or(0).min(MAX_WAIT_MS));
             if !(self.accepts_call(after).await && self.wait_for_change(after, wait).await) {
-                if http1::answer(&mut stream, "503 Service Unavailable", "", b"").await.is_err() {
+                if http1::write_response(&mut stream, "503 Service Unavailable", "", b"").await.is_err() {
                     return;
                 }
                 continue;
@@ -233,7 +234,7 @@
         }
         let revision = self.revision.get();
         let list = json!({"revision": revision, "complete": after.is_none(), "members": members});
-        http1::answer(stream, "200 OK", "", list.to_string().as_bytes()).await?;
+        http1::write_response(stream, "200 OK", "", list.to_string().as_bytes()).await?;
         for (backend, ready) in notified {
             self.context.record(Observation::BackendNotified { proxy: self.proxy, backend, ready });
         }
@@ -243,7 +244,7 @@
 
 /// A number from the query string of a call.
 fn number(request: &Message, name: &str) -> Option<u64> {
-    let query = request.target.1.split_once('?').map_or("", |(_, query)| query);
+    let query = request.path.split_once('?').map_or("", |(_, query)| query);
     let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
     pairs.find(|(n, _)| *n == name).and_then(|(_, value)| value.parse::<u64>().ok())
 }
--- a/crates/testbed/src/sockets/shared_state.rs
+++ b/crates/testbed/src/sockets/shared_state.rs
@@ -198,7 +198,7 @@
     /// The address at which clients reach a proxy.
     pub(crate) fn proxy_address(&self, proxy: usize) -> Option<SocketAddr> {
         match self.client_relay_port.get() {
-            Some(&port) => Some(SocketAddr::from((crate::address::at_relay(proxy), port))),
+            Some(&port) => Some(SocketAddr::from((crate::address::relay_address(proxy), port))),
             None => self.proxy_endpoint(proxy).listen_address(),
         }
     }
@@ -206,7 +206,7 @@
     /// The address at which a proxy reaches a backend.
     pub(crate) fn backend_address(&self, proxy: usize, backend: usize) -> Option<SocketAddr> {
         match self.backend_relay_ports.get() {
-            Some(ports) => Some(SocketAddr::from((crate::address::at_relay(proxy), ports[backend]))),
+            Some(ports) => Some(SocketAddr::from((crate::address::relay_address(proxy), ports[backend]))),
             None => self.backend_status(backend).address(),
         }
     }
--- a/crates/testbed/tests/relays.rs
+++ b/crates/testbed/tests/relays.rs
@@ -67,7 +67,7 @@
 }
 
 fn caller(proxy: usize, port: u16) -> SocketAddr {
-    (address::at_relay(proxy), port).into()
+    (address::relay_address(proxy), port).into()
 }
 
 #[test]
@@ -128,7 +128,7 @@
 async fn processes(count: usize) -> (Vec<UdpSocket>, Vec<SocketAddrV4>) {
     let mut sockets = Vec::new();
     for process in 0..count {
-        sockets.push(UdpSocket::bind((address::of_process(process), 0)).await.expect("a socket"));
+        sockets.push(UdpSocket::bind((address::process_address(process), 0)).await.expect("a socket"));
     }
     let address = |socket: &UdpSocket| match socket.local_addr().expect("its address") {
         SocketAddr::V4(address) => address,
