Testbed draws injected faults by request and attempt, not by the backend chosen

No caller of the proxy was concerned: every request was answered.

Cause: the draw was seeded with the request's id and the backend's index, so that the number of faults hung on the routing.

Why it works: the draw goes by the request's id and the number of earlier draws, at any backend, so that the same requests are hit in each play and a retry has a draw of its own.

--- a/crates/testbed/src/sockets/backends.rs
+++ b/crates/testbed/src/sockets/backends.rs
@@ -191,8 +191,8 @@
         Ok(())
     }
 
-    /// Draws whether a fault is injected now. The draw for a request depends only on its id, so that the same requests are
-    /// hit in whatever order they arrive.
+    /// Draws whether a fault is injected now. The draw for a request depends only on its id and on how often this fault was
+    /// drawn for it before, so that the same requests are hit in whatever order and at whichever backends they arrive.
     fn fault_applies(&self, kind: BackendFaultKind, id: Option<u64>) -> bool {
         let probability = self.faults.borrow().get(&kind).copied().unwrap_or(0.0);
         if probability == 0.0 {
@@ -201,8 +201,9 @@
         let draw = match id {
             Some(id) => {
                 let mix = (id + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ self.context.state.script.seed;
-                // Mixes in the backend, so that a retry at another backend gets an independent draw.
-                fastrand::Rng::with_seed(mix ^ ((self.index as u64) << 48) ^ kind as u64).f64()
+                // Mixes in the earlier draws, so that a retry gets an independent one.
+                let earlier_draws = self.context.state.count_fault_draw(kind, id);
+                fastrand::Rng::with_seed(mix ^ (earlier_draws << 48) ^ kind as u64).f64()
             }
             None => self.rng.borrow_mut().f64(),
         };
--- a/crates/testbed/src/sockets/shared_state.rs
+++ b/crates/testbed/src/sockets/shared_state.rs
@@ -2,8 +2,9 @@
 //! and the proxies as the clients' front end sees them.
 
 use crate::plan::Plan;
-use crate::script::Script;
+use crate::script::{BackendFaultKind, Script};
 use balancer::api::Micros;
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, OnceLock, PoisonError};
@@ -117,6 +118,8 @@
     backend_relay_ports: OnceLock<Vec<u16>>,
     /// The relay's port, where clients reach proxies through a relay.
     client_relay_port: OnceLock<u16>,
+    /// How often each fault was drawn for a request.
+    fault_draws: Mutex<HashMap<(BackendFaultKind, u64), u64>>,
 }
 
 impl SharedState {
@@ -137,10 +140,20 @@
             change_sender,
             backend_relay_ports,
             client_relay_port,
+            fault_draws: Mutex::default(),
         };
         (Arc::new(shared_state), changes)
     }
 
+    /// Counts a draw of this fault for a request, and returns how many there were before, at any backend.
+    pub(crate) fn count_fault_draw(&self, kind: BackendFaultKind, request: u64) -> u64 {
+        let mut draws = self.fault_draws.lock().unwrap_or_else(PoisonError::into_inner);
+        let count = draws.entry((kind, request)).or_default();
+        let earlier_draws = *count;
+        *count += 1;
+        earlier_draws
+    }
+
     pub(crate) fn now(&self) -> Micros {
         START + self.origin.elapsed().as_micros() as Micros
     }
