Review case 2: a key runs twice after a reload, through both fronts

Cause: a reload gives a changed class a new index. The HTTP front claims keys under the new one, the external processor under the one of the start, and the shared table takes equal keys of two indices for different keys.

Added: the case with its claim, its script and a caller of the external processor. Ports of the proxy now lie below those of outgoing connections: once of some ten runs one that had been free was taken or not listened on when it was needed, cause not traced.

--- a/review/2/main.rs
+++ b/review/2/main.rs
@@ -1,192 +1,164 @@
-//! Case 2: clients send large chunked bodies in small pieces, a few at a time. The platform ends a proxy that goes over
-//! its memory limit.
+//! Case 2: a new configuration changes a number of a class. From then on a key that a caller of the external processor
+//! holds is sent once more for a client of the HTTP front.
 #[path = "../common.rs"]
 mod common;
+mod grpc;
 
 use common::*;
+use grpc::{Caller, bytes_field, bytes_of, decode, number_field};
+use std::collections::{BTreeMap, BTreeSet};
 use std::io::{self, Write};
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
-const BACKENDS: u32 = 6;
-const WORK_MS: u64 = 30;
-const MEMORY_MB: u32 = 192;
-/// The clients with large bodies; each sends one request.
-const UPLOADS: u64 = 4;
-const BODY_BYTES: usize = 4_700_000;
-/// The pieces in which a body is written have 1 to 3 bytes; without the disruption all but the last have 16 KiB.
-const SMALL_PIECE: u64 = 3;
-const LARGE_PIECE: usize = 16 * 1_024;
+/// Eight backends in four cells of two.
+const BACKENDS: u32 = 8;
+/// How long a backend works on a request.
+const WORK_MS: u64 = 200;
+/// Pairs of a caller and a client, and how many keys each pair asks about.
+const PAIRS: u64 = 4;
+const KEYS_EACH: u64 = 10;
+/// The client asks so long after the caller began to send.
+const CLIENT_AFTER_MS: u64 = 50;
+/// Clients take up new settings 1.2 s after they changed.
+const SETTLE_MS: u64 = 1_500;
 const TIME_LEFT_MS: u64 = 1_300;
-const SOUND_EACH_MS: u64 = 100;
-const DURATION_MS: u64 = 15_000;
 
-fn serve(mut http: Http, name: &str, record: &Record) -> io::Result<()> {
+/// `Outcome` of a report.
+const SERVED: u64 = 1;
+const RESET: u64 = 5;
+/// The field of `Answer` that holds a decision to send.
+const SEND: u64 = 1;
+
+/// By key: the cells whose backends ran the request.
+type Runs = Mutex<BTreeMap<String, BTreeSet<u32>>>;
+
+fn serve(mut http: Http, name: &str, cell: u32, runs: &Runs, record: &Record) -> io::Result<()> {
     loop {
         let head = http.head()?;
-        let body = http.body(&head)?;
-        let id = head.header("x-correlation-id");
-        record.line(&format!("{name} runs {id}, body of {} bytes", body.len()));
+        http.body(&head)?;
+        let (id, key) = (head.header("x-correlation-id"), head.header("idempotency-key"));
+        // The backends of one cell drop a repeat of a key.
+        let is_first = runs.lock().unwrap().entry(key.to_owned()).or_default().insert(cell);
+        let does = if is_first { "runs" } else { "drops the repeat" };
+        record.line(&format!("{name} of cell {cell}: {does} {id}, {key}"));
         thread::sleep(ms(WORK_MS));
         let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{id}", id.len());
         http.stream.write_all(answer.as_bytes())?;
     }
 }
 
-/// A body in chunks of the chosen sizes.
-fn chunked_body(random: &mut Random) -> Vec<u8> {
-    let (mut encoded, mut left) = (Vec::new(), BODY_BYTES);
-    while left > 0 {
-        let piece =
-            if has_trouble() { 1 + random.below(SMALL_PIECE) as usize } else { LARGE_PIECE }.min(left);
-        encoded.extend_from_slice(format!("{piece:x}\r\n").as_bytes());
-        encoded.resize(encoded.len() + piece, b'x');
-        encoded.extend_from_slice(b"\r\n");
-        left -= piece;
-    }
-    encoded.extend_from_slice(b"0\r\n\r\n");
-    encoded
-}
-
-fn upload(number: u64, proxy: SocketAddr, record: &Record) -> io::Result<u16> {
-    let id = format!("large-{number}");
-    let body = chunked_body(&mut Random::new(number + 1));
-    let mut http = Http::connect(proxy, ms(1_000))?;
-    http.stream.set_read_timeout(Some(Duration::from_secs(10)))?;
-    let length = format!("Content-Length: {BODY_BYTES}");
-    let head = request_head(&id, "submit", TIME_LEFT_MS, Some(&format!("key-{id}")), BODY_BYTES);
-    let head = head.replace(&length, "Transfer-Encoding: chunked");
-    record.line(&format!(
-        "client of {id} sends a chunked body of {BODY_BYTES} bytes, {} on the wire",
-        body.len()
-    ));
-    http.stream.write_all(head.as_bytes())?;
-    http.stream.write_all(&body)?;
-    record.line(&format!("client of {id} has written the last byte"));
+/// Sends one keyed request on a new connection and returns the status.
+fn post(address: SocketAddr, id: &str, key: &str) -> io::Result<u16> {
+    let mut http = Http::connect(address, ms(1_000))?;
+    http.stream.set_read_timeout(Some(Duration::from_secs(5)))?;
+    let request = request_head(id, "submit", TIME_LEFT_MS, Some(key), 7) + "content";
+    http.stream.write_all(request.as_bytes())?;
     let head = http.head()?;
     http.body(&head)?;
     Ok(head.status())
 }
 
-/// A client with small requests, on connections that it keeps.
-fn run_sound_client(proxy: SocketAddr, lost: &AtomicUsize, has_ended: &AtomicBool, record: &Record) {
-    let (end, mut connection, mut sent) = (Instant::now() + ms(DURATION_MS), None, 0);
-    while Instant::now() < end && !has_ended.load(Ordering::Relaxed) {
-        sent += 1;
-        let id = format!("small-{sent}");
-        let connected = connection.take().map_or_else(|| Http::connect(proxy, ms(1_000)), Ok);
-        let answered = connected.and_then(|mut http| {
-            http.stream.set_read_timeout(Some(Duration::from_secs(3)))?;
-            http.stream.write_all(request_head(&id, "read", TIME_LEFT_MS, None, 0).as_bytes())?;
-            let head = http.head()?;
-            http.body(&head)?;
-            connection = (!head.header("connection").eq_ignore_ascii_case("close")).then_some(http);
-            Ok(head.status())
-        });
-        match answered {
-            Ok(status) => record.line(&format!("{id} got {status}")),
-            Err(error) => {
-                lost.fetch_add(1, Ordering::Relaxed);
-                record.line(&format!("{id} got no answer: {error}"));
+/// Asks the external processor about a key, sends as it says, and reports. While the request is open, a client sends the
+/// same key to the HTTP front.
+fn ask_twice(number: &str, processor: SocketAddr, proxy: SocketAddr, record: &Record) -> io::Result<()> {
+    let (key, id) = (format!("key-{number}"), format!("caller-{number}"));
+    let mut caller = Caller::connect(processor)?;
+    let question = [
+        bytes_field(1, id.as_bytes()),
+        bytes_field(2, b"submit"),
+        bytes_field(4, key.as_bytes()),
+        number_field(6, TIME_LEFT_MS),
+    ];
+    record.line(&format!("caller asks about {id}, {key}"));
+    let answer = caller.call("Decide", &question.concat())?;
+    let Some(send) = decode(bytes_of(&answer, SEND)).filter(|send| !bytes_of(send, 1).is_empty()) else {
+        record.line(&format!("caller is told not to send {id}: {answer:?}"));
+        return Ok(());
+    };
+    let endpoint = String::from_utf8_lossy(bytes_of(&send, 1)).into_owned();
+    record.line(&format!("caller is told to send {id} to {endpoint}"));
+    let address: SocketAddr = endpoint.parse().map_err(|_| io::Error::from(io::ErrorKind::InvalidData))?;
+    let client = {
+        let (id, key, record) = (format!("client-{number}"), key.clone(), record.clone());
+        thread::spawn(move || {
+            thread::sleep(ms(CLIENT_AFTER_MS));
+            record.line(&format!("client sends {id}, {key}"));
+            match post(proxy, &id, &key) {
+                Ok(status) => record.line(&format!("client: {id} got {status}")),
+                Err(error) => record.line(&format!("client: {id} got no answer: {error}")),
             }
-        }
-        thread::sleep(ms(SOUND_EACH_MS));
-    }
-}
-
-/// The anonymous memory of a process in kB: its resident memory without the pages of files.
-fn anonymous_memory_kb(process: u32) -> Option<u64> {
-    let status = std::fs::read_to_string(format!("/proc/{process}/status")).ok()?;
-    let value = status.lines().find_map(|line| line.strip_prefix("RssAnon:"))?;
-    value.trim().trim_end_matches(" kB").parse().ok()
-}
-
-/// The platform: ends the proxy once it is over its limit. Returns the highest figure seen, in kB.
-fn enforce_limit(process: u32, is_over: &AtomicBool, has_ended: &AtomicBool, record: &Record) -> u64 {
-    let limit = u64::from(MEMORY_MB) * 1_024;
-    let mut peak = 0;
-    while !has_ended.load(Ordering::Relaxed) {
-        let Some(now) = anonymous_memory_kb(process) else { return peak };
-        if now > peak + 10 * 1_024 {
-            record.line(&format!("the proxy takes {now} kB"));
-        }
-        peak = peak.max(now);
-        if now > limit {
-            record.say(&format!("the proxy takes {now} kB, more than {limit} kB: the platform kills it"));
-            is_over.store(true, Ordering::Relaxed);
-            has_ended.store(true, Ordering::Relaxed);
-            end_process(process);
-            return peak;
-        }
-        thread::sleep(ms(5));
-    }
-    peak
+        })
+    };
+    let sent = post(address, &id, &key);
+    record.line(&format!("caller: {id} got {sent:?}"));
+    let outcome = if matches!(sent, Ok(200)) { SERVED } else { RESET };
+    let report = [bytes_field(1, bytes_of(&send, 2)), number_field(2, outcome)];
+    caller.call("Report", &report.concat())?;
+    let _ = client.join();
+    Ok(())
 }
 
 fn main() {
     let record = Record::create();
+    let runs = Arc::new(Runs::default());
     let members: Vec<Member> = (0..BACKENDS)
         .map(|number| {
-            let (name, record) = (format!("box-{number}"), record.clone());
-            let id = name.clone();
-            let address = listen(move |http| serve(http, &name, &record));
-            Member { id, address, cell: number / 2 }
+            let (name, cell) = (format!("box-{number}"), number / 2);
+            let (runs, record, id) = (Arc::clone(&runs), record.clone(), name.clone());
+            let address = listen(move |http| serve(http, &name, cell, &runs, &record));
+            Member { id, address, cell }
         })
         .collect();
     let members = members_json(&members);
-    let config = Config {
+    let mut config = Config {
         listen: free_address(),
         discovery: discovery(members.clone()),
-        memory_mb: MEMORY_MB,
+        memory_mb: 192,
         sockets: 1_024,
         members,
         classes: classes_json("cell", 1_048_000),
     };
-    let proxy = Proxy::start(&config);
-    let process = proxy.id();
-    if anonymous_memory_kb(process).is_none() {
+    let processor = free_address();
+    let proxy = Proxy::start_with_processor(&config, processor);
+    if has_trouble() {
+        config.classes = classes_json("cell", 1_000_000);
+        proxy.reload(&config);
+        record.line("new configuration: `submit` gets another `aimUs`");
+    }
+    thread::sleep(ms(SETTLE_MS));
+    let is_reloaded = proxy.log().contains("reloaded the configuration");
+    if is_reloaded != has_trouble() {
         drop(proxy);
-        cannot_run("the proxy's memory cannot be read");
+        cannot_run("the new configuration was not taken");
     }
-    let (is_over, has_ended) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicBool::new(false)));
-    let platform = {
-        let (is_over, has_ended, record) = (Arc::clone(&is_over), Arc::clone(&has_ended), record.clone());
-        thread::spawn(move || enforce_limit(process, &is_over, &has_ended, &record))
-    };
-    let lost = Arc::new(AtomicUsize::new(0));
-    let sound = {
-        let (address, record) = (proxy.address, record.clone());
-        let (lost, has_ended) = (Arc::clone(&lost), Arc::clone(&has_ended));
-        thread::spawn(move || run_sound_client(address, &lost, &has_ended, &record))
-    };
-    thread::sleep(ms(500));
-    let statuses = Arc::new(Mutex::new(Vec::new()));
-    let uploads: Vec<_> = (0..UPLOADS)
-        .map(|number| {
-            let (address, record, statuses) = (proxy.address, record.clone(), Arc::clone(&statuses));
-            thread::spawn(move || match upload(number, address, &record) {
-                Ok(status) => {
-                    record.line(&format!("large-{number} got {status}"));
-                    statuses.lock().unwrap().push(status);
+    let pairs: Vec<_> = (0..PAIRS)
+        .map(|pair| {
+            let (address, record) = (proxy.address, record.clone());
+            thread::spawn(move || {
+                for number in 0..KEYS_EACH {
+                    if let Err(error) = ask_twice(&format!("{pair}-{number}"), processor, address, &record) {
+                        record.line(&format!("pair {pair}: {error}"));
+                    }
                 }
-                Err(error) => record.line(&format!("large-{number} got no answer: {error}")),
             })
         })
         .collect();
-    for client in uploads {
-        let _ = client.join();
+    for pair in pairs {
+        let _ = pair.join();
+    }
+    let runs = runs.lock().unwrap();
+    for (key, cells) in runs.iter().filter(|(_, cells)| cells.len() > 1) {
+        record.line(&format!("{key} RAN TWICE, in the cells {cells:?}"));
+    }
+    let doubled = runs.values().filter(|cells| cells.len() > 1).count();
+    record.say(&format!("{} of {} keys were run", runs.len(), PAIRS * KEYS_EACH));
+    if (runs.len() as u64) < PAIRS * KEYS_EACH / 2 {
+        proxy.log().lines().for_each(|line| record.line(&format!("proxy's log: {line}")));
+        drop(proxy);
+        cannot_run("fewer than half of the keys were run");
     }
-    thread::sleep(ms(200));
-    has_ended.store(true, Ordering::Relaxed);
-    let _ = sound.join();
-    let peak = platform.join().unwrap_or_default();
-    let (lost, statuses) = (lost.load(Ordering::Relaxed), statuses.lock().unwrap());
-    record.say(&format!(
-        "highest memory {peak} kB; large bodies answered: {statuses:?}; small requests with no answer: {lost}"
-    ));
-    let broken = usize::from(is_over.load(Ordering::Relaxed));
-    finish(&record, proxy, broken, "proxies went over the memory limit and were killed");
+    finish(&record, proxy, doubled, "keyed requests ran twice because two asked about them");
 }
--- a/review/common.rs
+++ b/review/common.rs
@@ -8,6 +8,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio, exit};
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -188,10 +189,18 @@
     address
 }
 
-/// A free loopback port.
+/// A free loopback port, below those that the system gives to outgoing connections. No two calls return the same.
 pub fn free_address() -> SocketAddr {
-    let bound = TcpListener::bind("127.0.0.1:0").and_then(|listener| listener.local_addr());
-    bound.unwrap_or_else(|error| cannot_run(&format!("no free port: {error}")))
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    let start = (std::process::id() % 1_000) as u16 * 10;
+    for _ in 0..1_000 {
+        let port = 20_000 + start + NEXT.fetch_add(1, Ordering::Relaxed);
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
+    cannot_run("no port is free")
 }
 
 /// A backend as discovery lists it.
@@ -282,6 +291,25 @@
 impl Proxy {
     /// Starts the proxy with the line `run` of `deploy/balancer.toml` and waits until `/up` answers 200.
     pub fn start(config: &Config) -> Self {
+        Self::start_with(config, |_| None)
+    }
+
+    /// The same with the external processor, which answers callers at this address.
+    pub fn start_with_processor(config: &Config, processor: SocketAddr) -> Self {
+        Self::start_with(config, |folder| {
+            let file = folder.join("extproc.toml");
+            let text = format!("listen = \"{processor}\"\nreflection = false\n");
+            if let Err(error) = std::fs::write(&file, text) {
+                cannot_run(&format!("{}: {error}", file.display()));
+            }
+            Some(("EDGE_EXTPROC", file))
+        })
+    }
+
+    fn start_with(
+        config: &Config,
+        variable: impl FnOnce(&std::path::Path) -> Option<(&'static str, PathBuf)>,
+    ) -> Self {
         let deploy = std::fs::read_to_string("deploy/balancer.toml").unwrap_or_default();
         let run = deploy.lines().find_map(|line| line.strip_prefix("run = \"")?.strip_suffix('"'));
         let Some(run) = run else { cannot_run("deploy/balancer.toml has no line `run`") };
@@ -295,6 +323,7 @@
             .args(["-c", run])
             .env("EDGE_CONFIG", folder.join("config.json"))
             .env("TMPDIR", &proxy_folder)
+            .envs(variable(&folder))
             .stdin(Stdio::null())
             .stdout(log.try_clone().unwrap())
             .stderr(log)
