--- a/review/common.rs
+++ b/review/common.rs
@@ -387,6 +387,7 @@
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
+        let _ = std::fs::remove_file(self.folder.join("proxy.pid"));
     }
 }
 
--- a/review/run-case.sh
+++ b/review/run-case.sh
@@ -9,11 +9,11 @@
 pid=""
 cleanup() {
     [ -z "$pid" ] || kill -KILL "$pid" 2>/dev/null
-    # The driver ends the proxy itself, unless it was ended from outside.
-    if [ -s "$work/proxy.pid" ] && [ -n "${interrupted:-}" ]; then kill -KILL "$(cat "$work/proxy.pid")" 2>/dev/null; fi
+    # The driver ends the proxy itself and removes this file, unless it was ended before.
+    [ ! -s "$work/proxy.pid" ] || kill -KILL "$(cat "$work/proxy.pid")" 2>/dev/null
     rm -rf "$work"
 }
-trap 'interrupted=1; exit 2' INT TERM HUP
+trap 'exit 2' INT TERM HUP
 trap cleanup EXIT
 RECORD="$folder/record.txt" WORK="$work" "$driver" &
 pid=$!
@@ -24,12 +24,10 @@
 done
 if kill -0 "$pid" 2>/dev/null; then
     echo "cannot run: not finished after 110 s"
-    interrupted=1
     exit 2
 fi
 wait "$pid"
 code=$?
 pid=""
 case "$code" in 0 | 1 | 2) exit "$code" ;; esac
-interrupted=1
 exit 2
