--- a/crates/external-processor/src/bridge.rs
+++ b/crates/external-processor/src/bridge.rs
@@ -8,7 +8,8 @@
     CallerId, CallerReply, Counts, DecisionLimits, DecisionRequest, DecisionService, LeaseEngine, MessageRef,
     Reply, ReplyDelivery, Report, Revocation,
 };
-use balancer::api::{BackendId, Micros, Outcome, RequestId, Settings};
+use balancer::api::{BackendId, Micros, Outcome, RequestId};
+use request_engine::class_registry::{RequestClass, SharedClasses};
 use request_engine::driver::{EngineHandle, Transport};
 use request_engine::engine::{AttemptCompletion, MessageTypes};
 use request_engine::idempotency::SharedRegistry;
@@ -116,8 +117,13 @@
 where
     <T::Messages as MessageTypes>::Responder: From<RequestHandle>,
 {
-    fn admit(&mut self, request: &DecisionRequest, handle: RequestHandle) -> Option<RequestId> {
-        self.0.admit(request.to_incoming(), handle.into()).ok()
+    fn admit(
+        &mut self,
+        request: &DecisionRequest,
+        class: &RequestClass,
+        handle: RequestHandle,
+    ) -> Option<RequestId> {
+        self.0.admit(request.to_incoming(class), handle.into()).ok()
     }
 
     fn report_result(
@@ -168,13 +174,13 @@
     /// Creates a decision service for this engine.
     #[must_use]
     pub fn new(
-        settings: &Settings,
         limits: DecisionLimits,
         registry: SharedRegistry,
+        classes: SharedClasses,
         engine: EngineContext<T>,
     ) -> Self {
         Self(Rc::new(Inner {
-            service: RefCell::new(DecisionService::new(settings, limits, registry)),
+            service: RefCell::new(DecisionService::new(limits, registry, classes)),
             engine,
             callers: RefCell::default(),
             dropped_callers: RefCell::default(),
--- a/crates/external-processor/src/decision_request.rs
+++ b/crates/external-processor/src/decision_request.rs
@@ -1,9 +1,10 @@
-//! Builds a [`DecisionRequest`] from HTTP headers or message fields: resolves class and tenant names to their
-//! indices, and names a missing, duplicate or invalid field in its error. No I/O and no clock.
+//! Builds a [`DecisionRequest`] from HTTP headers or message fields: resolves the name of its tenant, and names
+//! a missing, duplicate or invalid field in its error. The decision service resolves the name of the class,
+//! since a reload changes classes. No I/O and no clock.
 
-use crate::decision_service::DecisionRequest;
+use crate::decision_service::{ClassMismatch, DecisionRequest};
 use crate::settings::Headers;
-use balancer::api::{Idempotency, Micros, Settings};
+use balancer::api::Micros;
 use request_engine::idempotency::MAX_ID_BYTES;
 use request_engine::request_key::request_key;
 use rustc_hash::FxHashMap;
@@ -36,15 +37,20 @@
     },
 }
 
-struct Class {
-    index: u8,
-    deadline: Micros,
-    is_keyed: bool,
+impl InvalidRequest {
+    /// The error of a request that does not match its class. `names` are the names of its fields.
+    #[must_use]
+    pub fn class_mismatch(mismatch: &ClassMismatch, names: &Headers) -> Self {
+        match mismatch {
+            ClassMismatch::Unknown(_) => invalid_value(&names.class, mismatch.to_string()),
+            ClassMismatch::MissingKey => missing_field(&names.idempotency_key),
+            ClassMismatch::UnexpectedKey => invalid_value(&names.idempotency_key, mismatch.to_string()),
+        }
+    }
 }
 
-/// Resolves names of classes and tenants to their indices in the settings.
-pub struct RequestCatalog {
-    classes: FxHashMap<String, Class>,
+/// Parses requests; resolves the names of tenants to their indices in the settings, which no reload changes.
+pub struct RequestParser {
     tenants: FxHashMap<String, u16>,
 }
 
@@ -82,20 +88,11 @@
     text.chars().take(MAX_QUOTED_CHARS).collect()
 }
 
-impl RequestCatalog {
-    /// Creates a catalog of classes and tenants with these names, both in the order of the settings.
+impl RequestParser {
+    /// Creates a parser for tenants with these names, in the order of the settings.
     #[must_use]
-    pub fn new(settings: &Settings, classes: &[String], tenants: &[String]) -> Self {
-        let to_class = |(index, class): (u8, &balancer::api::Class)| Class {
-            index,
-            deadline: class.deadline,
-            is_keyed: matches!(class.idempotency, Idempotency::Keyed { .. }),
-        };
-        let known_classes = (0..=u8::MAX).zip(&settings.classes).map(to_class);
-        Self {
-            classes: classes.iter().cloned().zip(known_classes).collect(),
-            tenants: tenants.iter().cloned().zip(0..=u16::MAX).collect(),
-        }
+    pub fn new(tenants: &[String]) -> Self {
+        Self { tenants: tenants.iter().cloned().zip(0..=u16::MAX).collect() }
     }
 
     /// Builds a request that arrived at `now` from its fields. `names` are the names of the fields in errors.
@@ -108,12 +105,9 @@
         fields: &RequestFields<'_>,
         names: &Headers,
     ) -> Result<DecisionRequest, InvalidRequest> {
-        let class = match fields.class {
-            "" => return Err(missing_field(&names.class)),
-            name => self.classes.get(name),
-        };
-        let class = class
-            .ok_or_else(|| invalid_value(&names.class, format!("no class `{}`", truncated(fields.class))))?;
+        if fields.class.is_empty() {
+            return Err(missing_field(&names.class));
+        }
         for (name, value) in [(&names.id, fields.id), (&names.idempotency_key, fields.idempotency_key)] {
             if value.len() > MAX_ID_BYTES {
                 return Err(invalid_value(name, format!("{} bytes, {MAX_ID_BYTES} at most", value.len())));
@@ -122,13 +116,6 @@
         if fields.id.is_empty() {
             return Err(missing_field(&names.id));
         }
-        // In a keyed class, retries cannot be deduplicated without a key; in any other class a key has no
-        // effect.
-        match (class.is_keyed, fields.idempotency_key.is_empty()) {
-            (true, true) => return Err(missing_field(&names.idempotency_key)),
-            (false, false) => return Err(invalid_value(&names.idempotency_key, "the class has no keys")),
-            _ => {}
-        }
         let tenant = match fields.tenant {
             _ if self.tenants.is_empty() => 0,
             "" => return Err(missing_field(&names.tenant)),
@@ -139,12 +126,12 @@
         };
         Ok(DecisionRequest {
             id: fields.id.into(),
-            idempotency_key: class.is_keyed.then(|| fields.idempotency_key.into()),
-            class: class.index,
+            idempotency_key: (!fields.idempotency_key.is_empty()).then(|| fields.idempotency_key.into()),
+            class: fields.class.into(),
             tenant,
             affinity_key: fields.affinity_key,
             arrived_at: now,
-            timeout: fields.timeout.map_or(class.deadline, |timeout| timeout.min(class.deadline)),
+            timeout: fields.timeout,
             expected_work: fields.expected_work,
             is_retry: fields.is_retry,
             prior_lease: None,
--- a/crates/external-processor/src/decision_request/tests.rs
+++ b/crates/external-processor/src/decision_request/tests.rs
@@ -1,15 +1,11 @@
 use super::*;
 
-fn catalog() -> RequestCatalog {
-    let class = |index, is_keyed| Class { index, deadline: 2_000_000, is_keyed };
-    RequestCatalog {
-        classes: [("read".into(), class(0, false)), ("submit".into(), class(1, true))].into_iter().collect(),
-        tenants: [("acme".into(), 3)].into_iter().collect(),
-    }
+fn parser() -> RequestParser {
+    RequestParser { tenants: [("acme".into(), 3)].into_iter().collect() }
 }
 
 fn read(headers: &[(&str, &[u8])]) -> Result<DecisionRequest, InvalidRequest> {
-    catalog().request_from_headers(7, headers.iter().copied(), &Headers::default())
+    parser().request_from_headers(7, headers.iter().copied(), &Headers::default())
 }
 
 const VALID: [(&str, &[u8]); 5] = [
@@ -23,8 +19,8 @@
 #[test]
 fn builds_a_request_from_headers() {
     let request = read(&VALID).expect("a request");
-    assert_eq!((request.class, request.tenant, request.affinity_key), (1, 3, Some(255)));
-    assert_eq!((request.timeout, request.arrived_at, request.is_single_attempt), (480_000, 7, true));
+    assert_eq!((&*request.class, request.tenant, request.affinity_key), ("submit", 3, Some(255)));
+    assert_eq!((request.timeout, request.arrived_at, request.is_single_attempt), (Some(480_000), 7, true));
     assert_eq!((&*request.id, request.idempotency_key.as_deref()), (&b"c1"[..], Some(&b"k1"[..])));
 }
 
@@ -36,8 +32,10 @@
         head.push((name, value));
         head
     };
-    for name in ["x-correlation-id", "x-account", "idempotency-key"] {
+    for name in ["x-correlation-id", "x-account"] {
         assert_eq!(read(&without(name)), Err(missing_field(name)));
+    }
+    for name in ["x-correlation-id", "x-account", "idempotency-key"] {
         let mut duplicate = VALID.to_vec();
         duplicate.push((name, b"other"));
         assert_eq!(read(&duplicate), Err(InvalidRequest::Duplicate(name.into())));
@@ -49,7 +47,6 @@
         ("x-time-left-ms", b"99999999999999999999"),
         ("x-correlation-id", &[b'a'; MAX_ID_BYTES + 1]),
         ("x-weight-hint", b"heavy"),
-        ("x-service-class", b"\"'`"),
     ] {
         let error = read(&with(name, value)).expect_err("the header is invalid").to_string();
         assert!(error.starts_with(&format!("`{name}` makes no sense")), "{error}");
@@ -58,6 +55,20 @@
     assert!(read(&keyless).is_ok());
 }
 
+/// Only the decision service knows the classes in force. Its errors name headers as those of the parser do.
+#[test]
+fn errors_name_the_header_that_does_not_match_the_class() {
+    let error = |mismatch| InvalidRequest::class_mismatch(&mismatch, &Headers::default());
+    assert_eq!(error(ClassMismatch::MissingKey), missing_field("idempotency-key"));
+    let cases = [
+        (ClassMismatch::Unknown("\"'".into()), "`x-service-class` makes no sense: no class `\"'`"),
+        (ClassMismatch::UnexpectedKey, "`idempotency-key` makes no sense: the class has no keys"),
+    ];
+    for (mismatch, expected) in cases {
+        assert_eq!(error(mismatch).to_string(), expected);
+    }
+}
+
 #[test]
 fn random_headers_do_not_panic() {
     let mut rng = fastrand::Rng::with_seed(20_261_201);
--- a/crates/external-processor/src/decision_service/caller_messages.rs
+++ b/crates/external-processor/src/decision_service/caller_messages.rs
@@ -1,15 +1,29 @@
 //! Handles callers' messages (requests for decisions, reports and renewals) and the end of a caller.
 
 use super::{
-    CallerId, DecisionRequest, DecisionService, LeaseEngine, MAX_WAITERS, MessageRef, NOT_RETAINED,
-    OpenDecision, RejectReason, Reply, ReplyDelivery, Report,
+    CallerId, ClassMismatch, DecisionRequest, DecisionService, LeaseEngine, MAX_WAITERS, MessageRef,
+    NOT_RETAINED, OpenDecision, RejectReason, Reply, ReplyDelivery, Report,
 };
 use balancer::api::{Idempotency, Micros, Outcome};
+use request_engine::class_registry::{LookupError, RequestClass};
 use request_engine::idempotency::{ClaimId, ClaimStatus, CompletedRequest, ExecutionStatus, FinalStatus};
 use request_engine::lease::LeaseId;
 use request_engine::lease_events::RequestHandle;
 use smallvec::SmallVec;
 
+/// Maximum number of characters of a caller's text that an error quotes.
+const MAX_QUOTED_CHARS: usize = 64;
+
+/// Checks whether a request with or without an idempotency key matches a version of its class.
+fn check_key(class: &RequestClass, has_key: bool) -> Result<(), ClassMismatch> {
+    let is_keyed = matches!(class.idempotency, Idempotency::Keyed { .. });
+    match (is_keyed, has_key) {
+        (true, false) => Err(ClassMismatch::MissingKey),
+        (false, true) => Err(ClassMismatch::UnexpectedKey),
+        _ => Ok(()),
+    }
+}
+
 impl DecisionService {
     /// Handles a request for a decision.
     pub fn decide(
@@ -28,8 +42,12 @@
             return self
                 .reject(message_ref, RejectReason::CallerLimit(self.limits.open_decisions_per_caller));
         }
+        let class = match self.find_class(now, request) {
+            Ok(class) => class,
+            Err(mismatch) => return self.reject(message_ref, mismatch.into()),
+        };
         let key = request.idempotency_key.as_deref();
-        let claim = self.registry.borrow_mut().claim(now, &request.id, request.class, key);
+        let claim = self.registry.borrow_mut().claim(now, &request.id, &class.name, key);
         match claim {
             Err(error) => self.reject(message_ref, error.into()),
             Ok(ClaimStatus::Completed(CompletedRequest { status, .. })) => {
@@ -43,10 +61,23 @@
                 }
                 self.reply(message_ref, Reply::InFlight { age: now.saturating_sub(since), by_key });
             }
-            Ok(ClaimStatus::New(claim)) => self.admit(now, message_ref, request, claim, engine),
+            Ok(ClaimStatus::New(claim)) => self.admit(now, message_ref, request, &class, claim, engine),
         }
     }
 
+    /// The class of a request by the settings in force.
+    fn find_class(&self, now: Micros, request: &DecisionRequest) -> Result<RequestClass, ClassMismatch> {
+        let has_key = request.idempotency_key.is_some();
+        let found = self.classes.borrow().find(now, &request.class, |class| check_key(class, has_key));
+        found.map_err(|error| match error {
+            LookupError::UnknownClass => {
+                let quoted: String = request.class.chars().take(MAX_QUOTED_CHARS).collect();
+                ClassMismatch::Unknown(quoted.into())
+            }
+            LookupError::Mismatch(mismatch) => mismatch,
+        })
+    }
+
     /// Makes a message wait for the final outcome of a claim. Returns whether it now waits.
     fn add_waiter(&mut self, claim: ClaimId, message_ref: MessageRef) -> bool {
         // The claim may belong to a request that this process proxies itself: such a claim has no open
@@ -62,27 +93,30 @@
         now: Micros,
         message_ref: MessageRef,
         request: &DecisionRequest,
+        class: &RequestClass,
         claim: ClaimId,
         engine: &mut impl LeaseEngine,
     ) {
         // The caller had a lease for this request before, and the outcome of that attempt is unknown.
-        let idempotency = self.idempotency[usize::from(request.class)];
-        if request.prior_lease.is_some() && idempotency != Idempotency::Idempotent {
+        let retention = self.retention(class);
+        if request.prior_lease.is_some() && class.idempotency != Idempotency::Idempotent {
             let status = FinalStatus::Unknown;
-            self.complete_claim(now, claim, request.class, status, ExecutionStatus::MayHaveExecuted);
+            self.complete_claim(now, claim, retention, status, ExecutionStatus::MayHaveExecuted);
             self.counts.unknown += 1;
             return self.reply(message_ref, Reply::Final { status, is_replayed: false });
         }
         let handle = RequestHandle(self.next_handle);
         self.next_handle += 1;
-        let Some(request_id) = engine.admit(request, handle) else {
+        let Some(request_id) = engine.admit(request, class, handle) else {
             self.registry.borrow_mut().complete(now, claim, NOT_RETAINED, ExecutionStatus::NotExecuted, 0);
             return self.reject(message_ref, RejectReason::Overload);
         };
         let open = OpenDecision {
             claim,
             request: request_id,
-            class: request.class,
+            idempotency: class.idempotency,
+            retention,
+            max_attempts: self.classes.borrow().max_attempts(),
             is_single_attempt: request.is_single_attempt,
             owner: message_ref.caller,
             pending_tag: Some(message_ref.tag),
--- a/crates/external-processor/src/decision_service/lease_events.rs
+++ b/crates/external-processor/src/decision_service/lease_events.rs
@@ -62,8 +62,7 @@
                 let retry_scope = if open.is_single_attempt {
                     RetryScope::Never
                 } else {
-                    let idempotency = self.idempotency[usize::from(open.class)];
-                    RetryScope::after_attempt(idempotency, grant.attempt, self.max_attempts)
+                    RetryScope::after_attempt(open.idempotency, grant.attempt, open.max_attempts)
                 };
                 let decision = SendDecision { endpoint, grant, retry_scope };
                 (open.pending_tag, open.attempt) = (None, Some(decision));
--- a/crates/external-processor/src/decision_service/messages.rs
+++ b/crates/external-processor/src/decision_service/messages.rs
@@ -1,6 +1,7 @@
 //! The decision service's input and output: requests, reports, replies and revocations.
 
 use balancer::api::{Idempotency, Micros, Outcome};
+use request_engine::class_registry::RequestClass;
 use request_engine::engine::{Dispatch, IncomingRequest, LeaseGrant};
 use request_engine::idempotency::{ClaimError, FinalStatus};
 use request_engine::lease::{LeaseError, LeaseId};
@@ -25,18 +26,19 @@
 pub struct DecisionRequest {
     /// Its correlation id, 1 to [`MAX_ID_BYTES`](request_engine::idempotency::MAX_ID_BYTES) bytes.
     pub id: Box<[u8]>,
-    /// Its idempotency key; `Some` in keyed classes only.
+    /// Its idempotency key; `None` if it has none.
     pub idempotency_key: Option<Box<[u8]>>,
-    /// Index of its class in the settings.
-    pub class: u8,
+    /// The name of its class.
+    pub class: Box<str>,
     /// Index of its tenant in the settings.
     pub tenant: u16,
     /// Affinity key; see [`request_engine::request_key`].
     pub affinity_key: Option<u64>,
     /// When it arrived, on the engine's clock, microseconds.
     pub arrived_at: Micros,
-    /// How long its client waits for the response, from the arrival on, microseconds.
-    pub timeout: Micros,
+    /// How long its client waits for the response, from the arrival on, microseconds; `None`: until the class's
+    /// response deadline.
+    pub timeout: Option<Micros>,
     /// Expected work on a standard core, microseconds.
     pub expected_work: Option<Micros>,
     /// Whether the client marked it as a retry.
@@ -50,15 +52,15 @@
 }
 
 impl DecisionRequest {
-    /// Converts to the engine's form of a request whose caller makes the attempts.
+    /// Converts to the engine's form of a request of this class whose caller makes the attempts.
     #[must_use]
-    pub fn to_incoming<W>(&self) -> IncomingRequest<W> {
+    pub fn to_incoming<W>(&self, class: &RequestClass) -> IncomingRequest<W> {
         IncomingRequest {
-            class: self.class,
+            class: class.index,
             tenant: self.tenant,
             key: self.affinity_key,
             arrived_at: self.arrived_at,
-            timeout: self.timeout,
+            timeout: self.timeout.map_or(class.deadline, |timeout| timeout.min(class.deadline)),
             expected_work: self.expected_work,
             is_retry: self.is_retry,
             dispatch: Dispatch::Leased,
@@ -115,9 +117,26 @@
     pub retry_scope: RetryScope,
 }
 
+/// Why a request does not match the class that it names.
+#[derive(Clone, Debug, Error, PartialEq, Eq)]
+pub enum ClassMismatch {
+    /// No class has this name.
+    #[error("no class `{0}`")]
+    Unknown(Box<str>),
+    /// The class is keyed, and the request has no idempotency key: its retries cannot be deduplicated.
+    #[error("the idempotency key is missing")]
+    MissingKey,
+    /// The request has an idempotency key, which has no effect in its class.
+    #[error("the class has no keys")]
+    UnexpectedKey,
+}
+
 /// Why a message of a caller was rejected. A rejected message has no effect.
-#[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
+#[derive(Clone, Debug, Error, PartialEq, Eq)]
 pub enum RejectReason {
+    /// The request does not match its class.
+    #[error(transparent)]
+    Class(#[from] ClassMismatch),
     /// The request's id or idempotency key cannot be claimed.
     #[error(transparent)]
     Claim(#[from] ClaimError),
@@ -139,7 +158,7 @@
 }
 
 /// The reply to one message of a caller.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum Reply {
     /// The caller may make an attempt.
     Send(SendDecision),
@@ -166,7 +185,7 @@
 }
 
 /// A reply, addressed to the message that it answers.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct CallerReply {
     /// The message that is answered.
     pub message_ref: MessageRef,
--- a/crates/external-processor/src/decision_service/mod.rs
+++ b/crates/external-processor/src/decision_service/mod.rs
@@ -12,11 +12,12 @@
 mod messages;
 
 pub use messages::{
-    CallerId, CallerReply, Counts, DecisionRequest, MessageRef, RejectReason, Reply, ReplyDelivery, Report,
-    RetryScope, Revocation, SendDecision,
+    CallerId, CallerReply, ClassMismatch, Counts, DecisionRequest, MessageRef, RejectReason, Reply,
+    ReplyDelivery, Report, RetryScope, Revocation, SendDecision,
 };
 
-use balancer::api::{Idempotency, Micros, Outcome, RequestId, Settings};
+use balancer::api::{Idempotency, Micros, Outcome, RequestId};
+use request_engine::class_registry::{RequestClass, SharedClasses};
 use request_engine::idempotency::{
     ClaimId, CompletedRequest, ExecutionStatus, FinalStatus, FrontEnd, SharedRegistry,
 };
@@ -38,8 +39,13 @@
 /// The operations of the engine that the decision service uses. The events that a call causes are delivered
 /// as [`LeaseEvent`](request_engine::lease_events::LeaseEvent)s after the call.
 pub trait LeaseEngine {
-    /// Admits a request. Returns `None` if one of the engine's limits is reached.
-    fn admit(&mut self, request: &DecisionRequest, handle: RequestHandle) -> Option<RequestId>;
+    /// Admits a request of this class. Returns `None` if one of the engine's limits is reached.
+    fn admit(
+        &mut self,
+        request: &DecisionRequest,
+        class: &RequestClass,
+        handle: RequestHandle,
+    ) -> Option<RequestId>;
 
     /// Settles a lease with the result of its attempt.
     ///
@@ -81,11 +87,15 @@
     pub non_idempotent_retention: Micros,
 }
 
-/// A request that a caller owns and that has no final outcome yet.
+/// A request that a caller owns and that has no final outcome yet. The rules under which it came apply to it
+/// until its end, whatever a reload changes.
 struct OpenDecision {
     claim: ClaimId,
     request: RequestId,
-    class: u8,
+    idempotency: Idempotency,
+    /// How long its final outcome is retained, microseconds.
+    retention: Micros,
+    max_attempts: u16,
     is_single_attempt: bool,
     /// The caller that has the current lease, or to which the next decision is sent.
     owner: CallerId,
@@ -102,11 +112,7 @@
 pub struct DecisionService {
     registry: SharedRegistry,
     limits: DecisionLimits,
-    /// Indexed by class.
-    idempotency: Vec<Idempotency>,
-    /// Response deadlines, indexed by class, microseconds.
-    deadlines: Vec<Micros>,
-    max_attempts: u16,
+    classes: SharedClasses,
     is_draining: bool,
     next_handle: u64,
     open: FxHashMap<RequestHandle, OpenDecision>,
@@ -121,13 +127,11 @@
 impl DecisionService {
     /// Creates a service without open requests.
     #[must_use]
-    pub fn new(settings: &Settings, limits: DecisionLimits, registry: SharedRegistry) -> Self {
+    pub fn new(limits: DecisionLimits, registry: SharedRegistry, classes: SharedClasses) -> Self {
         Self {
             registry,
             limits,
-            idempotency: settings.classes.iter().map(|class| class.idempotency).collect(),
-            deadlines: settings.classes.iter().map(|class| class.deadline).collect(),
-            max_attempts: settings.permissions.max_attempts,
+            classes,
             is_draining: false,
             next_handle: 1,
             open: FxHashMap::default(),
@@ -208,7 +212,7 @@
             // No caller received an outcome and nothing has run, so the next request is decided anew.
             self.registry.borrow_mut().complete(now, open.claim, NOT_RETAINED, effect, 0);
         } else {
-            self.complete_claim(now, open.claim, open.class, status, effect);
+            self.complete_claim(now, open.claim, open.retention, status, effect);
         }
         if let Some(message_ref) = pending {
             self.reply(message_ref, Reply::Final { status, is_replayed: false });
@@ -222,20 +226,21 @@
         &self,
         now: Micros,
         claim: ClaimId,
-        class: u8,
+        retention: Micros,
         status: FinalStatus,
         effect: ExecutionStatus,
     ) {
         let completed = CompletedRequest { front_end: FrontEnd::External, status };
-        self.registry.borrow_mut().complete(now, claim, completed, effect, self.retention(class));
+        self.registry.borrow_mut().complete(now, claim, completed, effect, retention);
     }
 
-    fn retention(&self, class: u8) -> Micros {
-        let class = usize::from(class);
-        match self.idempotency[class] {
+    /// How long the final outcome of a request of this class is retained, microseconds.
+    fn retention(&self, class: &RequestClass) -> Micros {
+        let limit = match class.idempotency {
             Idempotency::Idempotent => self.limits.idempotent_retention,
-            Idempotency::Keyed { ttl, .. } => ttl.max(self.deadlines[class]),
-            Idempotency::NonIdempotent => self.limits.non_idempotent_retention.max(self.deadlines[class]),
-        }
+            Idempotency::Keyed { .. } => 0,
+            Idempotency::NonIdempotent => self.limits.non_idempotent_retention,
+        };
+        limit.max(class.claim_policy.retention)
     }
 }
--- a/crates/external-processor/src/envoy.rs
+++ b/crates/external-processor/src/envoy.rs
@@ -4,7 +4,7 @@
 //! Envoy makes the one attempt itself. The response to the request's headers names the backend, and the
 //! headers of the HTTP response are the report on the attempt. A rejection is sent as an immediate response.
 
-use crate::decision_request::{InvalidRequest, RequestCatalog};
+use crate::decision_request::{InvalidRequest, RequestParser};
 use crate::decision_service::{DecisionRequest, RejectReason, Reply, SendDecision};
 use crate::settings;
 use balancer::api::{Micros, Outcome};
@@ -90,7 +90,7 @@
 
 /// The state of one stream.
 pub struct ProcessingStream<'a> {
-    catalog: &'a RequestCatalog,
+    parser: &'a RequestParser,
     settings: &'a settings::Envoy,
     state: StreamState,
     body_modes: BodyModes,
@@ -194,8 +194,12 @@
     }
 }
 
-fn rejection_response(reason: RejectReason) -> Box<ProcessingResponse> {
+/// `names` are the names of the headers in errors.
+fn rejection_response(reason: &RejectReason, names: &settings::Headers) -> Box<ProcessingResponse> {
     match reason {
+        RejectReason::Class(mismatch) => {
+            invalid_request_response(&InvalidRequest::class_mismatch(mismatch, names))
+        }
         RejectReason::Claim(ClaimError::Full(_))
         | RejectReason::Overload
         | RejectReason::CallerLimit(_)
@@ -209,8 +213,8 @@
 impl<'a> ProcessingStream<'a> {
     /// Creates a stream that has received no message.
     #[must_use]
-    pub fn new(catalog: &'a RequestCatalog, settings: &'a settings::Envoy) -> Self {
-        Self { catalog, settings, state: StreamState::AwaitingHeaders, body_modes: BodyModes::default() }
+    pub fn new(parser: &'a RequestParser, settings: &'a settings::Envoy) -> Self {
+        Self { parser, settings, state: StreamState::AwaitingHeaders, body_modes: BodyModes::default() }
     }
 
     /// Handles the next message, which arrived at `now`.
@@ -261,7 +265,7 @@
     }
 
     fn request_headers(&mut self, now: Micros, head: &HttpHeaders) -> StreamAction {
-        match self.catalog.request_from_headers(
+        match self.parser.request_from_headers(
             now,
             header_pairs(head.headers.as_ref()),
             &self.settings.headers,
@@ -298,7 +302,7 @@
 
     /// Converts the reply to the request for a decision to the response to the request's headers.
     pub fn handle_decision_reply(&mut self, now: Micros, reply: Reply) -> Box<ProcessingResponse> {
-        self.state = match reply {
+        self.state = match &reply {
             Reply::Send(SendDecision { grant, .. }) => StreamState::AttemptInFlight(grant.lease),
             _ => StreamState::Finished,
         };
@@ -308,7 +312,7 @@
             Reply::InFlight { .. } => {
                 immediate_response(503, Some(RETRY_DELAY), "another caller holds this request")
             }
-            Reply::Rejected(reason) => rejection_response(reason),
+            Reply::Rejected(reason) => rejection_response(&reason, &self.settings.headers),
             Reply::LeaseSettled | Reply::Renewed(_) => immediate_response(502, None, "failed"),
         }
     }
--- a/crates/external-processor/src/grpc_codec.rs
+++ b/crates/external-processor/src/grpc_codec.rs
@@ -1,7 +1,7 @@
 //! Converts the messages of the gRPC service `Decisions` to and from the types of the decision service. No
 //! I/O and no clock.
 
-use crate::decision_request::{InvalidRequest, RequestCatalog, RequestFields};
+use crate::decision_request::{InvalidRequest, RequestFields, RequestParser};
 use crate::decision_service::{
     DecisionRequest, IN_FLIGHT_RETRY_DELAY, RejectReason, Reply, Report, RetryScope, SendDecision,
 };
@@ -43,7 +43,7 @@
 pub fn decode_request(
     now: Micros,
     message: &pb::DecideRequest,
-    catalog: &RequestCatalog,
+    parser: &RequestParser,
     names: &Headers,
 ) -> Result<DecisionRequest, InvalidRequest> {
     let non_zero = |value: u64| (value > 0).then_some(value);
@@ -64,7 +64,7 @@
     Ok(DecisionRequest {
         prior_lease,
         waits_for_result: message.wait,
-        ..catalog.request_from_fields(now, &fields, names)?
+        ..parser.request_from_fields(now, &fields, names)?
     })
 }
 
@@ -131,12 +131,12 @@
     }
 }
 
-fn encode_reason(reason: RejectReason) -> pb::Reason {
+fn encode_reason(reason: &RejectReason) -> pb::Reason {
     match reason {
         RejectReason::Claim(ClaimError::Full(_)) | RejectReason::Overload | RejectReason::CallerLimit(_) => {
             pb::Reason::Overload
         }
-        RejectReason::Claim(ClaimError::InvalidLength(_)) => pb::Reason::Invalid,
+        RejectReason::Class(_) | RejectReason::Claim(ClaimError::InvalidLength(_)) => pb::Reason::Invalid,
         RejectReason::Claim(ClaimError::KeyMismatch) => pb::Reason::OtherKey,
         RejectReason::Lease(LeaseError::OtherIncarnation) => pb::Reason::LeaseForeign,
         RejectReason::Lease(LeaseError::Unknown) => pb::Reason::LeaseUnknown,
@@ -159,6 +159,14 @@
     pb::Final { end: end as i32, retry_after_ms, again: is_replayed }
 }
 
+fn encode_rejection(reason: &RejectReason) -> pb::Rejected {
+    let message = match reason {
+        RejectReason::Class(mismatch) => InvalidRequest::class_mismatch(mismatch, &field_names()).to_string(),
+        reason => reason.to_string(),
+    };
+    pb::Rejected { reason: encode_reason(reason) as i32, message }
+}
+
 /// Encodes a reply that is sent at `now`; points in time become durations from `now` on.
 #[must_use]
 pub fn encode_reply(now: Micros, reply: Reply) -> pb::Answer {
@@ -175,10 +183,7 @@
             by_key,
         }),
         Reply::Renewed(expires_in) => Answer::Renewed(pb::Renewed { within_ms: ms_rounded_down(expires_in) }),
-        Reply::Rejected(reason) => {
-            let message = reason.to_string();
-            Answer::Rejected(pb::Rejected { reason: encode_reason(reason) as i32, message })
-        }
+        Reply::Rejected(reason) => Answer::Rejected(encode_rejection(&reason)),
     };
     pb::Answer { answer: Some(answer) }
 }
--- a/crates/external-processor/src/server/decisions.rs
+++ b/crates/external-processor/src/server/decisions.rs
@@ -65,7 +65,7 @@
     fn decode_request(&self, request: &pb::DecideRequest) -> Result<Operation, InvalidRequest> {
         let shared = &*self.0;
         let now = shared.clock.now();
-        let request = grpc_codec::decode_request(now, request, &shared.catalog, &shared.field_names)?;
+        let request = grpc_codec::decode_request(now, request, &shared.parser, &shared.field_names)?;
         Ok(Operation::Decide(Box::new(request)))
     }
 
--- a/crates/external-processor/src/server/envoy.rs
+++ b/crates/external-processor/src/server/envoy.rs
@@ -46,7 +46,7 @@
     let mut guard = CallerGuard::new(&shared.decisions, CallerEnd::Unanswered(caller));
     // The channel is dropped before the guard: the bridge ignores queued messages whose channel is closed.
     let (reply_to, mut notifications) = mpsc::channel(REPLY_QUEUE);
-    let stream = ProcessingStream::new(&shared.catalog, &shared.settings.envoy);
+    let stream = ProcessingStream::new(&shared.parser, &shared.settings.envoy);
     let mut handler = StreamHandler {
         shared: &shared,
         caller,
--- a/crates/external-processor/src/server/mod.rs
+++ b/crates/external-processor/src/server/mod.rs
@@ -7,7 +7,7 @@
 mod shared;
 
 use crate::bridge::DecisionSender;
-use crate::decision_request::RequestCatalog;
+use crate::decision_request::RequestParser;
 use crate::generated::decisions_server::DecisionsServer;
 use crate::grpc_codec;
 use crate::settings::Settings;
@@ -82,8 +82,8 @@
 
 /// The parts of the process that the gRPC services use.
 pub struct ServerContext {
-    /// Resolves names of classes and tenants.
-    pub catalog: RequestCatalog,
+    /// Parses requests for a decision.
+    pub parser: RequestParser,
     /// Names of the fields of a load report, in the order of the settings.
     pub load_report_fields: Vec<String>,
     /// The clock that the engine uses.
@@ -104,10 +104,10 @@
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(ServerError::Thread)?;
     let (phase, phases) = watch::channel(ServicePhase::Serving);
-    let ServerContext { catalog, load_report_fields, clock, decisions } = context;
+    let ServerContext { parser, load_report_fields, clock, decisions } = context;
     let shared = Arc::new(Shared {
         settings,
-        catalog,
+        parser,
         load_report_fields,
         field_names: grpc_codec::field_names(),
         clock,
--- a/crates/external-processor/src/server/shared.rs
+++ b/crates/external-processor/src/server/shared.rs
@@ -1,7 +1,7 @@
 //! State shared by the gRPC services.
 
 use crate::bridge::{CallerEnd, DecisionSender};
-use crate::decision_request::RequestCatalog;
+use crate::decision_request::RequestParser;
 use crate::decision_service::CallerId;
 use crate::settings::{Headers, Settings};
 use request_engine::driver::clock::Clock;
@@ -14,7 +14,7 @@
 
 pub(super) struct Shared {
     pub(super) settings: Settings,
-    pub(super) catalog: RequestCatalog,
+    pub(super) parser: RequestParser,
     /// Names of the fields of a load report, in the order of the settings.
     pub(super) load_report_fields: Vec<String>,
     /// Field names of the `Decisions` service, which errors refer to.
--- a/crates/external-processor/tests/decision_service.rs
+++ b/crates/external-processor/tests/decision_service.rs
@@ -3,9 +3,10 @@
 
 mod harness;
 
-use balancer::api::Outcome;
+use balancer::api::{Idempotency, Outcome};
 use external_processor::decision_service::{
-    CallerId, Counts, MAX_WAITERS, MessageRef, RejectReason, Reply, ReplyDelivery, RetryScope, Revocation,
+    CallerId, ClassMismatch, Counts, MAX_WAITERS, MessageRef, RejectReason, Reply, ReplyDelivery, RetryScope,
+    Revocation,
 };
 use harness::*;
 use request_engine::engine::REPORT_GRACE;
@@ -353,3 +354,55 @@
         "too few cases to be meaningful: {sends} attempts, {unknown} requests with unknown outcome"
     );
 }
+
+#[test]
+fn rejects_requests_that_do_not_match_their_class() {
+    let mut harness = Harness::new(6);
+    let unknown = harness.request_class(1, &"x".repeat(100), None);
+    let quoted = "x".repeat(64).into();
+    let rejected = |mismatch| Some(Reply::Rejected(RejectReason::Class(mismatch)));
+    assert_eq!(harness.reply(unknown), rejected(ClassMismatch::Unknown(quoted)));
+    let keyless = harness.request_with_key(1, KEYED, "a", None);
+    assert_eq!(harness.reply(keyless), rejected(ClassMismatch::MissingKey));
+    for class in [IDEMPOTENT, NON_IDEMPOTENT] {
+        let keyed = harness.request_with_key(1, class, "a", Some("k"));
+        assert_eq!(harness.reply(keyed), rejected(ClassMismatch::UnexpectedKey));
+    }
+    let valid = harness.request_keyed(1, "a", "k");
+    assert!(harness.send_decision(valid).is_some(), "a rejected request claims neither its id nor its key");
+    harness.finish();
+}
+
+/// Guards against callers that are decided by the classes of the process's start, and against an open request
+/// whose rules change.
+#[test]
+fn reload_applies_to_later_requests_but_not_to_open_ones() {
+    let mut harness = Harness::new(6);
+    let first = harness.request_keyed(1, "a", "k");
+    let first = harness.send_decision(first).expect("a backend");
+    assert_eq!(first.retry_scope, RetryScope::WithinDedupScope);
+    harness.reload(|settings| {
+        settings.classes[usize::from(KEYED)].idempotency = Idempotency::NonIdempotent;
+        settings.classes[usize::from(IDEMPOTENT)].deadline = SECOND;
+        settings.permissions.max_attempts = 1;
+    });
+    let by_key = harness.request_keyed(2, "b", "k");
+    assert_eq!(harness.reply(by_key), Some(Reply::InFlight { age: 0, by_key: true }));
+    let keyless = harness.request_with_key(2, KEYED, "c", None);
+    let keyless = harness.send_decision(keyless).expect("the class is not keyed any more");
+    assert_eq!(keyless.retry_scope, RetryScope::Never);
+    harness.report(2, keyless.grant.lease, Outcome::Ok);
+    let shorter = harness.request(2, IDEMPOTENT, "d");
+    let shorter = harness.send_decision(shorter).expect("a backend");
+    assert!(shorter.grant.timeout_at <= harness.now + SECOND, "the new deadline applies");
+    harness.report(2, shorter.grant.lease, Outcome::Ok);
+
+    let reported = harness.report(1, first.grant.lease, Outcome::ConnectFailed);
+    let second = harness.send_decision(reported).expect("a request with four attempts is retried");
+    assert_eq!((second.grant.attempt, second.retry_scope), (1, RetryScope::WithinDedupScope));
+    harness.report(1, second.grant.lease, Outcome::Ok);
+    harness.advance_time(RETENTION - 1);
+    let retained = harness.request_keyed(2, "b", "k");
+    assert_eq!(harness.reply(retained), Some(replayed_outcome(FinalStatus::Served)));
+    harness.finish();
+}
--- a/crates/external-processor/tests/harness/engine_at_time.rs
+++ b/crates/external-processor/tests/harness/engine_at_time.rs
@@ -2,6 +2,7 @@
 
 use balancer::api::{Micros, Outcome, RequestId};
 use external_processor::decision_service::{DecisionRequest, LeaseEngine};
+use request_engine::class_registry::RequestClass;
 use request_engine::engine::{AttemptCompletion, Command, Engine, MessageTypes};
 use request_engine::lease::{LeaseError, LeaseId};
 use request_engine::lease_events::{LeaseEvent, RequestHandle};
@@ -47,8 +48,13 @@
 }
 
 impl LeaseEngine for EngineWithClock<'_> {
-    fn admit(&mut self, request: &DecisionRequest, handle: RequestHandle) -> Option<RequestId> {
-        let admitted = self.engine.admit(self.now, request.to_incoming(), handle).ok();
+    fn admit(
+        &mut self,
+        request: &DecisionRequest,
+        class: &RequestClass,
+        handle: RequestHandle,
+    ) -> Option<RequestId> {
+        let admitted = self.engine.admit(self.now, request.to_incoming(class), handle).ok();
         self.queue_events();
         admitted
     }
--- a/crates/external-processor/tests/harness/mod.rs
+++ b/crates/external-processor/tests/harness/mod.rs
@@ -7,12 +7,14 @@
 
 pub use settings::SECOND;
 
-use balancer::api::{Backend, BackendId, MembershipUpdate, Micros, Outcome, Readiness, RequestId};
+use ::settings::reload::ClassIndices;
+use balancer::api::{Backend, BackendId, MembershipUpdate, Micros, Outcome, Readiness, RequestId, Settings};
 use engine_at_time::{EngineWithClock, NoMessages};
 use external_processor::decision_service::{
     CallerId, CallerReply, DecisionLimits, DecisionRequest, DecisionService, MessageRef, Reply,
     ReplyDelivery, Report, Revocation, SendDecision,
 };
+use request_engine::class_registry::{ClassRegistry, SharedClasses};
 use request_engine::engine::{Engine, EngineLimits};
 use request_engine::idempotency::IdempotencyRegistry;
 use request_engine::lease::LeaseId;
@@ -24,6 +26,9 @@
 
 /// How long final outcomes of non-idempotent and keyed classes are retained.
 pub const RETENTION: Micros = 3 * SECOND;
+const IDEMPOTENT_CLASS: &str = "read";
+/// The names of the classes by their position in the settings.
+const CLASS_NAMES: [&str; 3] = [IDEMPOTENT_CLASS, "charge", "submit"];
 /// Maximum number of open decisions of one caller.
 pub const PER_CALLER: usize = 200;
 
@@ -58,6 +63,9 @@
     pub engine: Engine<NoMessages>,
     pub service: DecisionService,
     pub revocations: Vec<Revocation>,
+    settings: Settings,
+    class_indices: ClassIndices,
+    classes: SharedClasses,
     events: VecDeque<LeaseEvent>,
     draining: BTreeSet<BackendId>,
     messages: BTreeMap<MessageRef, Option<String>>,
@@ -76,6 +84,10 @@
         let mut engine = Engine::new(settings.clone(), limits, 7, 0xfeed, SECOND).expect("valid settings");
         let backends: Vec<_> = (0..backend_count).map(|id| backend(id, Readiness::Ready)).collect();
         engine.update_membership(SECOND, MembershipUpdate::Snapshot(&backends));
+        let class_indices = ClassIndices::new(&CLASS_NAMES.map(str::to_owned)).expect("valid names");
+        let mut classes = ClassRegistry::default();
+        classes.update(SECOND, &settings, class_indices.named());
+        let classes = Rc::new(RefCell::new(classes));
         let registry = Rc::new(RefCell::new(IdempotencyRegistry::new(10_000)));
         let limits = DecisionLimits {
             open_decisions_per_caller: PER_CALLER,
@@ -85,7 +97,10 @@
         Self {
             now: SECOND,
             engine,
-            service: DecisionService::new(&settings, limits, registry),
+            service: DecisionService::new(limits, registry, Rc::clone(&classes)),
+            settings,
+            class_indices,
+            classes,
             revocations: Vec::new(),
             events: VecDeque::new(),
             draining: BTreeSet::new(),
@@ -97,6 +112,17 @@
         }
     }
 
+    /// Changes the settings of the harness's start, and applies the result.
+    pub fn reload(&mut self, change: impl FnOnce(&mut Settings)) {
+        let mut new = settings::settings_with_key_ttl(RETENTION);
+        change(&mut new);
+        let names = CLASS_NAMES.map(str::to_owned);
+        self.settings = self.class_indices.reload(&self.settings, &new, &names).expect("valid settings");
+        self.engine.update_settings(self.now, &self.settings).expect("valid settings");
+        self.classes.borrow_mut().update(self.now, &self.settings, self.class_indices.named());
+        self.handle_events();
+    }
+
     pub fn request(&mut self, caller: u64, class: u8, id: &str) -> MessageRef {
         self.request_with_key(caller, class, id, None)
     }
@@ -133,15 +159,21 @@
         self.decide(caller, &DecisionRequest { is_single_attempt: true, ..request })
     }
 
+    /// Requests a decision for a class of this name, which need not exist.
+    pub fn request_class(&mut self, caller: u64, class: &str, key: Option<&str>) -> MessageRef {
+        let request = self.decision_request(0, "a", key);
+        self.decide(caller, &DecisionRequest { class: class.into(), ..request })
+    }
+
     fn decision_request(&self, class: u8, id: &str, key: Option<&str>) -> DecisionRequest {
         DecisionRequest {
             id: id.as_bytes().into(),
             idempotency_key: key.map(|key| key.as_bytes().into()),
-            class,
+            class: CLASS_NAMES[usize::from(class)].into(),
             tenant: 0,
             affinity_key: None,
             arrived_at: self.now,
-            timeout: 2 * SECOND,
+            timeout: Some(2 * SECOND),
             expected_work: None,
             is_retry: false,
             prior_lease: None,
@@ -152,8 +184,8 @@
 
     fn decide(&mut self, caller: u64, request: &DecisionRequest) -> MessageRef {
         let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).into_owned();
-        let identity = match (request.class, &request.idempotency_key) {
-            (0, _) => None,
+        let identity = match (&*request.class, &request.idempotency_key) {
+            (IDEMPOTENT_CLASS, _) => None,
             (_, Some(key)) => Some(format!("key {}", text(key))),
             (_, None) => Some(format!("id {}", text(&request.id))),
         };
@@ -276,10 +308,10 @@
 
     fn check_reply(&mut self, message_ref: MessageRef, reply: Reply) {
         assert!(self.messages.contains_key(&message_ref), "{message_ref:?} is not a message");
-        if let Reply::Send(send) = reply {
+        if let Reply::Send(send) = &reply {
             assert!(!self.draining.contains(&send.grant.backend), "a draining backend was granted");
             let identity = self.messages[&message_ref].clone();
-            self.check_single_execution(identity.as_deref(), &send);
+            self.check_single_execution(identity.as_deref(), send);
             let (sent_at, request) = (self.now, send.grant.request);
             let attempt = Attempt { identity, sent_at, request, never_executed: false };
             assert!(self.attempts.insert(send.grant.lease, attempt).is_none(), "a lease was granted twice");
@@ -307,7 +339,7 @@
     }
 
     pub fn reply(&self, message_ref: MessageRef) -> Option<Reply> {
-        self.replies.get(&message_ref).and_then(|replies| replies.first()).copied()
+        self.replies.get(&message_ref).and_then(|replies| replies.first()).cloned()
     }
 
     pub fn send_decision(&self, message_ref: MessageRef) -> Option<SendDecision> {
--- a/crates/http-proxy/src/class_registry/tests.rs
+++ b/crates/http-proxy/src/class_check/tests.rs
@@ -1,4 +1,6 @@
 use super::*;
+use balancer::api::{Class, DedupScope, Settings};
+use request_engine::class_registry::PREVIOUS_CLASS_GRACE_PERIOD;
 use settings::parse_settings;
 use settings::reload::ClassIndices;
 
@@ -25,7 +27,7 @@
         let mut classes = ClassRegistry::default();
         classes.update(0, &settings(&[previous]), std::iter::once((0, "lift")));
         classes.update(100, &settings(&[previous, current]), std::iter::once((1, "lift")));
-        let index = |at| classes.find(at, "lift", &Method::POST, true).map(|class| class.index);
+        let index = |at| find_class(&classes, at, "lift", &Method::POST, true).map(|class| class.index);
         assert_eq!(index(100), Ok(expected), "{previous:?} {current:?}");
         assert_eq!(index(100 + PREVIOUS_CLASS_GRACE_PERIOD), Ok(1), "{previous:?} {current:?}");
     }
@@ -36,7 +38,7 @@
     let mut classes = ClassRegistry::default();
     classes.update(0, &settings(&[Idempotency::Idempotent, KEYED]), [(0, "read"), (1, "lift")].into_iter());
     let index = |classes: &ClassRegistry, now, name: &str, method: Method, has_key| {
-        classes.find(now, name, &method, has_key).map(|class| class.index)
+        find_class(classes, now, name, &method, has_key).map(|class| class.index)
     };
     assert_eq!(index(&classes, 0, "read", Method::GET, false), Ok(0));
     assert_eq!(index(&classes, 0, "read", Method::POST, false), Err(ClassMismatch::MethodNotAllowed));
@@ -58,7 +60,7 @@
     assert_eq!(index(&classes, after, "lift", Method::POST, true), Err(ClassMismatch::UnknownClass));
     // Applying the same settings once more changes nothing and drops expired versions.
     classes.update(after, &changed, [(2, "read"), (3, "view")].into_iter());
-    assert_eq!(classes.classes.len(), 2);
+    assert_eq!(classes.len(), 2);
     assert_eq!(index(&classes, after, "read", Method::POST, false), Ok(2));
 }
 
@@ -78,7 +80,7 @@
         let second = indices.reload(&first, &settings(&[current]), &names).expect("good settings");
         classes.update(100, &second, indices.named());
         let applied = |classes: &ClassRegistry, at| {
-            let class = classes.find(at, "lift", &Method::POST, true).expect("a class");
+            let class = find_class(classes, at, "lift", &Method::POST, true).expect("a class");
             second.classes[usize::from(class.index)].idempotency
         };
         let grace_end = 100 + PREVIOUS_CLASS_GRACE_PERIOD;
--- a/crates/http-proxy/src/clients.rs
+++ b/crates/http-proxy/src/clients.rs
@@ -13,13 +13,13 @@
 pub use accept::AcceptQueueResult;
 
 use crate::body::MemoryBudget;
-use crate::class_registry::ClassRegistry;
 use crate::client_connection::ClientConnection;
 use crate::log::FailureLog;
 use crate::name_index::NameIndex;
 use crate::stall_detector::StallDetector;
 use crate::transport::EngineHandle;
 use hyper::header::HeaderValue;
+use request_engine::class_registry::SharedClasses;
 use request_engine::driver::clock::Clock;
 use request_engine::idempotency;
 use rustc_hash::{FxHashMap, FxHashSet};
@@ -51,7 +51,7 @@
     /// The clock of the engine.
     pub clock: Clock,
     /// The request classes that clients may name.
-    pub classes: ClassRegistry,
+    pub classes: SharedClasses,
     /// The name index, whose tenants clients may name.
     pub names: &'a NameIndex,
     /// True once a backend list is available; until then the proxy does not report itself as up.
@@ -73,7 +73,7 @@
 pub struct ClientConnections {
     handle: EngineHandle,
     clock: Clock,
-    classes: RefCell<ClassRegistry>,
+    classes: SharedClasses,
     /// Indices in the settings by name; empty if the tenant of a request is not checked.
     tenants: FxHashMap<String, u16>,
     has_backend_list: Rc<Cell<bool>>,
@@ -99,7 +99,7 @@
         Rc::new(Self {
             handle: options.handle,
             clock: options.clock,
-            classes: RefCell::new(options.classes),
+            classes: options.classes,
             tenants: options.names.tenants.iter().cloned().zip(0..=u16::MAX).collect(),
             has_backend_list: options.has_backend_list,
             phase: options.phase,
@@ -123,12 +123,6 @@
         self.open_connections.get()
     }
 
-    /// The request classes that clients may name.
-    #[must_use]
-    pub fn classes(&self) -> &RefCell<ClassRegistry> {
-        &self.classes
-    }
-
     /// Replaces the maximum number of open connections.
     pub fn set_max_connections(&self, max_connections: usize) {
         self.max_connections.set(max_connections);
--- a/crates/http-proxy/src/clients/admission.rs
+++ b/crates/http-proxy/src/clients/admission.rs
@@ -12,6 +12,7 @@
 use balancer::api::Micros;
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::{Response, StatusCode};
+use request_engine::class_registry::RequestClass;
 use request_engine::engine::{AdmissionError, Dispatch, FinalOutcome, IncomingRequest};
 use std::rc::Rc;
 use tokio::sync::oneshot;
@@ -30,13 +31,13 @@
         if connection.has_disconnected() {
             return Ok(overload_response(0));
         }
-        let ParsedRequest { request, correlation_id } = parsed;
+        let ParsedRequest { request, class, correlation_id } = parsed;
         // A second request with the same id could be a duplicate of the first, and must not be executed
         // beside it.
         let Some(open_id) = OpenRequestId::acquire(&self.open_request_ids, correlation_id) else {
             return Err(RejectedRequest::new(StatusCode::CONFLICT, "a request of this id is open\n"));
         };
-        match self.claim(&request, &open_id.id) {
+        match self.claim(&request, class, &open_id.id) {
             Ok(claim) => Ok(self.await_outcome(request, claim, connection).await),
             Err(ClaimRejection::RetryAfter(delay)) => Ok(overload_response(delay)),
             Err(ClaimRejection::Conflict(reason)) => Err(RejectedRequest::new(StatusCode::CONFLICT, reason)),
@@ -85,6 +86,7 @@
     fn claim(
         &self,
         request: &IncomingRequest<Rc<ForwardedRequest>>,
+        class: RequestClass,
         correlation_id: &HeaderValue,
     ) -> Result<Option<IdempotencyClaim<'_>>, ClaimRejection> {
         let (Some(registry), Dispatch::Proxied(forwarded)) = (&self.idempotency_registry, &request.dispatch)
@@ -92,9 +94,8 @@
             return Ok(None);
         };
         let key = forwarded.headers.get(IDEMPOTENCY_KEY).map(HeaderValue::as_bytes);
-        let Some(policy) = self.classes.borrow().claim_policy(request.class) else { return Ok(None) };
-        let identity = RequestIdentity { id: correlation_id.as_bytes(), class: request.class, key };
-        IdempotencyClaim::acquire(registry, self.clock, identity, policy)
+        let identity = RequestIdentity { id: correlation_id.as_bytes(), class, key };
+        IdempotencyClaim::acquire(registry, self.clock, &identity)
     }
 }
 
--- a/crates/http-proxy/src/clients/read_request.rs
+++ b/crates/http-proxy/src/clients/read_request.rs
@@ -4,7 +4,7 @@
 use super::forwarded_head::{end_to_end_headers, origin_form};
 use super::local_responses::RejectedRequest;
 use crate::body::exact_size;
-use crate::class_registry::{ClassMismatch, RequestClass};
+use crate::class_check::{ClassMismatch, find_class};
 use crate::client_connection::{ClientConnection, ClientPresence};
 use crate::exchange::{ForwardedRequest, RequestBody};
 use crate::min_transfer_rate;
@@ -14,6 +14,7 @@
 use hyper::header::{HeaderMap, HeaderName, HeaderValue, TRANSFER_ENCODING};
 use hyper::http::request::Parts;
 use hyper::{Request, StatusCode};
+use request_engine::class_registry::RequestClass;
 use request_engine::engine::{Dispatch, IncomingRequest, RESPONSE_MARGIN};
 use request_engine::request_key::request_key;
 use std::rc::Rc;
@@ -37,6 +38,8 @@
 pub(super) struct ParsedRequest {
     /// The request in the form that the engine accepts.
     pub(super) request: IncomingRequest<Rc<ForwardedRequest>>,
+    /// The class under which it arrived.
+    pub(super) class: RequestClass,
     /// Its correlation id.
     pub(super) correlation_id: HeaderValue,
 }
@@ -95,7 +98,7 @@
             is_retry,
             dispatch: Dispatch::Proxied(forwarded),
         };
-        Ok(ParsedRequest { request, correlation_id })
+        Ok(ParsedRequest { request, class, correlation_id })
     }
 
     fn parameters(&self, head: &Parts) -> Result<RequestParameters, RejectedRequest> {
@@ -118,7 +121,7 @@
             return Err(RejectedRequest::bad_request("the class of the header is not that of the path\n"));
         }
         let has_key = header_text(headers, &IDEMPOTENCY_KEY).is_some_and(|key| !key.is_empty());
-        let class = self.classes.borrow().find(self.clock.now(), name, &head.method, has_key).cloned();
+        let class = find_class(&self.classes.borrow(), self.clock.now(), name, &head.method, has_key);
         class.map_err(|mismatch| match mismatch {
             ClassMismatch::UnknownClass => RejectedRequest::bad_request("unknown class\n"),
             ClassMismatch::MethodNotAllowed => {
--- a/crates/http-proxy/src/idempotency_claim.rs
+++ b/crates/http-proxy/src/idempotency_claim.rs
@@ -2,7 +2,8 @@
 //! request that is not idempotent must not be executed twice because it arrives over both.
 
 use crate::exchange::BackendResponse;
-use balancer::api::{Class, Idempotency, Micros};
+use balancer::api::Micros;
+use request_engine::class_registry::RequestClass;
 use request_engine::driver::clock::Clock;
 use request_engine::engine::FinalOutcome;
 use request_engine::idempotency::{
@@ -25,34 +26,13 @@
     Invalid(&'static str),
 }
 
-/// How requests of a class are registered.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct ClaimPolicy {
-    /// Whether requests with the same idempotency key are retries of one another.
-    keyed: bool,
-    /// How long the final status is retained, in microseconds.
-    retention: Micros,
-}
-
-impl ClaimPolicy {
-    /// The policy that follows from the idempotency of a class.
-    #[must_use]
-    pub fn of(class: &Class) -> Self {
-        match class.idempotency {
-            Idempotency::Idempotent => Self { keyed: false, retention: 0 },
-            Idempotency::Keyed { ttl, .. } => Self { keyed: true, retention: ttl.max(class.deadline) },
-            Idempotency::NonIdempotent => Self { keyed: false, retention: class.deadline },
-        }
-    }
-}
-
 /// What identifies a request in the registry.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct RequestIdentity<'a> {
     /// The correlation id that the client chose.
     pub id: &'a [u8],
-    /// The index of its class in the settings.
-    pub class: u8,
+    /// Its class.
+    pub class: RequestClass,
     /// The idempotency key, if the request has one.
     pub key: Option<&'a [u8]>,
 }
@@ -77,12 +57,12 @@
     pub fn acquire(
         registry: &'a SharedRegistry,
         clock: Clock,
-        request: RequestIdentity<'_>,
-        policy: ClaimPolicy,
+        request: &RequestIdentity<'_>,
     ) -> Result<Option<Self>, ClaimRejection> {
         let now = clock.now();
-        let key = request.key.filter(|_| policy.keyed);
-        let claimed = registry.borrow_mut().claim(now, request.id, request.class, key);
+        let policy = request.class.claim_policy;
+        let key = request.key.filter(|_| policy.is_keyed);
+        let claimed = registry.borrow_mut().claim(now, request.id, &request.class.name, key);
         match claimed {
             Ok(ClaimStatus::New(id)) => {
                 Ok(Some(Self { registry, clock, id, retention: policy.retention, settled: false }))
--- a/crates/http-proxy/src/lib.rs
+++ b/crates/http-proxy/src/lib.rs
@@ -6,7 +6,7 @@
 pub mod backend_list;
 pub mod backend_pool;
 pub mod body;
-pub mod class_registry;
+pub mod class_check;
 pub mod client_connection;
 pub mod clients;
 pub mod config;
--- a/crates/proxy-server/src/config_reload.rs
+++ b/crates/proxy-server/src/config_reload.rs
@@ -3,16 +3,15 @@
 
 use admin::fingerprint::fingerprint;
 use balancer::api::{Micros, Settings};
-use http_proxy::class_registry::ClassRegistry as ClientClasses;
-use http_proxy::clients::ClientConnections;
 use http_proxy::config::{Config, ConfigError};
 use http_proxy::log::log;
 use http_proxy::name_index::NameIndex;
 use http_proxy::transport::EngineHandle;
+use request_engine::class_registry::{ClassRegistry, SharedClasses};
 use serde_json::Value;
 use settings::reload::{ClassIndices, ReloadError, restart_only_keys};
 use socket_io::retry::retry;
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -32,7 +31,9 @@
     initial_document: Value,
     document: Value,
     settings: Settings,
-    classes: ClassIndices,
+    class_indices: ClassIndices,
+    /// The request classes in force, which all front ends use.
+    classes: SharedClasses,
     /// The names in the configuration at the process's start. A reload does not change machine kinds and
     /// zones.
     names: NameIndex,
@@ -53,14 +54,17 @@
         handle: EngineHandle,
         configuration_fingerprint: Rc<Cell<u64>>,
     ) -> Result<Self, ReloadError> {
-        let classes = ClassIndices::new(&config.names.classes)?;
-        configuration_fingerprint.set(learning_fingerprint(&classes, &config.names));
-        let longest_deadline = Rc::new(Cell::new(longest_deadline(&classes, &config.settings)));
+        let class_indices = ClassIndices::new(&config.names.classes)?;
+        configuration_fingerprint.set(learning_fingerprint(&class_indices, &config.names));
+        let longest_deadline = Rc::new(Cell::new(longest_deadline(&class_indices, &config.settings)));
+        let mut classes = ClassRegistry::default();
+        classes.update(handle.clock().now(), &config.settings, class_indices.named());
         Ok(Self {
             initial_document: config.document_without_list.clone(),
             document: config.document_without_list.clone(),
             settings: config.settings.clone(),
-            classes,
+            class_indices,
+            classes: Rc::new(RefCell::new(classes)),
             names: config.names.clone(),
             fingerprint: configuration_fingerprint,
             handle,
@@ -68,12 +72,10 @@
         })
     }
 
-    /// The request classes in force, by the names that clients use.
+    /// The request classes in force, which all front ends use; updated at each reload.
     #[must_use]
-    pub(crate) fn client_classes(&self, now: Micros) -> ClientClasses {
-        let mut classes = ClientClasses::default();
-        classes.update(now, &self.settings, self.classes.named());
-        classes
+    pub(crate) fn classes(&self) -> SharedClasses {
+        Rc::clone(&self.classes)
     }
 
     /// The longest deadline of the request classes in force, in microseconds; updated at each reload.
@@ -88,10 +90,9 @@
         mut self,
         mut reload: Signal,
         discovery: watch::Sender<SocketAddr>,
-        clients: Rc<ClientConnections>,
     ) {
         while reload.recv().await.is_some() {
-            match self.reload_with_retry(&clients).await {
+            match self.reload_with_retry().await {
                 Ok(address) => {
                     discovery.send_if_modified(|current| std::mem::replace(current, address) != address);
                 }
@@ -104,28 +105,30 @@
 
     /// Reloads the configuration, with retries while the file cannot be read: the file's content is to be
     /// in force from the signal on.
-    async fn reload_with_retry(&mut self, clients: &ClientConnections) -> Result<SocketAddr, ConfigError> {
+    async fn reload_with_retry(&mut self) -> Result<SocketAddr, ConfigError> {
         let deadline = Instant::now() + READ_TIMEOUT;
         let is_unreadable = |error: &ConfigError| matches!(error, ConfigError::Unreadable(..));
-        retry(Some(deadline), READ_RETRY_DELAY, is_unreadable, async || self.reload(clients)).await
+        retry(Some(deadline), READ_RETRY_DELAY, is_unreadable, async || self.reload()).await
     }
 
     /// Reads and checks the complete configuration, and then applies it. Returns discovery's address.
-    fn reload(&mut self, clients: &ClientConnections) -> Result<SocketAddr, ConfigError> {
+    fn reload(&mut self) -> Result<SocketAddr, ConfigError> {
         let config = Config::reload(&self.document)?;
-        let mut classes = self.classes.clone();
-        let settings = classes.reload(&self.settings, &config.settings, &config.names.classes);
+        let mut class_indices = self.class_indices.clone();
+        let settings = class_indices.reload(&self.settings, &config.settings, &config.names.classes);
         let settings = settings.map_err(ConfigError::Reload)?;
         self.handle.update_settings(&settings).map_err(ConfigError::Settings)?;
         self.handle
             .transport()
             .backend_pool
             .set_timeouts(config.connect_timeout, settings.permissions.idle_connection_timeout);
-        clients.classes().borrow_mut().update(self.handle.clock().now(), &settings, classes.named());
-        self.longest_deadline.set(longest_deadline(&classes, &settings));
-        self.fingerprint.set(learning_fingerprint(&classes, &self.names));
-        self.log_changes(&config, &settings, &classes);
-        (self.classes, self.settings, self.document) = (classes, settings, config.document_without_list);
+        self.classes.borrow_mut().update(self.handle.clock().now(), &settings, class_indices.named());
+        self.longest_deadline.set(longest_deadline(&class_indices, &settings));
+        self.fingerprint.set(learning_fingerprint(&class_indices, &self.names));
+        self.log_changes(&config, &settings, &class_indices);
+        self.class_indices = class_indices;
+        self.settings = settings;
+        self.document = config.document_without_list;
         Ok(config.discovery)
     }
 
--- a/crates/proxy-server/src/server.rs
+++ b/crates/proxy-server/src/server.rs
@@ -19,10 +19,8 @@
 use discovery::DiscoveryParts;
 use drain::Drain;
 use engine::EngineParts;
-use external_processor::server::ServerError;
 use external_processor::settings::Settings as ExternalProcessorSettings;
-use grpc_front_end::GrpcFrontEnd;
-use http_proxy::clients::ClientConnections;
+use grpc_front_end::{GrpcFrontEnd, SharedRegistries};
 use http_proxy::config::Config;
 use http_proxy::discovery::DiscoveryWatcher;
 use http_proxy::log::log;
@@ -133,15 +131,21 @@
             EngineParts::create(&config, external_processor.as_ref(), clock)?;
         // Both front ends use one registry, so that an idempotency key applies to the requests of both.
         let registry = external_processor.as_ref().map(|settings| shared_registry(settings.limits.retained));
-        let grpc_front_end =
-            start_grpc_front_end(external_processor.as_ref(), registry.as_ref(), &config, &handle)?;
         let DiscoveryParts { watcher, backend_list, has_backend_list, address_sender } =
             DiscoveryParts::create(&mut config, exclusions, poll_requests, &handle);
         let config_reload = ConfigReload::new(&config, handle.clone(), fingerprint)?;
+        let classes = config_reload.classes();
+        let grpc_front_end = match external_processor.as_ref().zip(registry.as_ref()) {
+            Some((settings, registry)) => {
+                let shared = SharedRegistries { claims: Rc::clone(registry), classes: Rc::clone(&classes) };
+                Some(GrpcFrontEnd::start(settings, &config, shared, &handle)?)
+            }
+            None => None,
+        };
         let client_front_end = ClientFrontEnd::create(ClientFrontEndOptions {
             config: &config,
             handle: &handle,
-            classes: config_reload.client_classes(clock.now()),
+            classes,
             has_backend_list: Rc::clone(&has_backend_list),
             registry,
             stall_detector: Rc::clone(&listener.stall_detector),
@@ -162,8 +166,7 @@
         });
         let console = console::open(&config, admin_handler.as_ref()).await?;
         let longest_deadline = config_reload.longest_deadline();
-        let clients = Rc::clone(&client_front_end.connections);
-        let discovery_address = spawn_reload_task(config_reload, reload, address_sender, clients);
+        let discovery_address = spawn_reload_task(config_reload, reload, address_sender);
         let external_processor = grpc_front_end.as_ref().map(GrpcFrontEnd::address);
         if let Some(address) = external_processor {
             log(format_args!("{} answers callers on {address}", config.name));
@@ -244,18 +247,6 @@
     Ok((Some(state), exclusions))
 }
 
-fn start_grpc_front_end(
-    settings: Option<&ExternalProcessorSettings>,
-    registry: Option<&SharedRegistry>,
-    config: &Config,
-    handle: &EngineHandle,
-) -> Result<Option<GrpcFrontEnd>, ServerError> {
-    let (Some(settings), Some(registry)) = (settings, registry) else {
-        return Ok(None);
-    };
-    GrpcFrontEnd::start(settings, config, Rc::clone(registry), handle).map(Some)
-}
-
 fn shared_registry(capacity: usize) -> SharedRegistry {
     Rc::new(RefCell::new(IdempotencyRegistry::new(capacity)))
 }
@@ -266,11 +257,10 @@
     config_reload: ConfigReload,
     reload: Option<Signal>,
     discovery_address: watch::Sender<SocketAddr>,
-    clients: Rc<ClientConnections>,
 ) -> Option<watch::Sender<SocketAddr>> {
     let Some(reload) = reload else {
         return Some(discovery_address);
     };
-    tokio::task::spawn_local(config_reload.reload_on_signals(reload, discovery_address, clients));
+    tokio::task::spawn_local(config_reload.reload_on_signals(reload, discovery_address));
     None
 }
--- a/crates/proxy-server/src/server/client_front_end.rs
+++ b/crates/proxy-server/src/server/client_front_end.rs
@@ -1,10 +1,10 @@
 //! Construction of the HTTP front end for clients.
 
-use http_proxy::class_registry::ClassRegistry;
 use http_proxy::clients::{ClientConnections, ClientConnectionsOptions, ShutdownPhase};
 use http_proxy::config::Config;
 use http_proxy::stall_detector::StallDetector;
 use http_proxy::transport::EngineHandle;
+use request_engine::class_registry::SharedClasses;
 use request_engine::idempotency::SharedRegistry;
 use std::cell::Cell;
 use std::rc::Rc;
@@ -14,7 +14,7 @@
 pub(super) struct ClientFrontEndOptions<'a> {
     pub(super) config: &'a Config,
     pub(super) handle: &'a EngineHandle,
-    pub(super) classes: ClassRegistry,
+    pub(super) classes: SharedClasses,
     pub(super) has_backend_list: Rc<Cell<bool>>,
     /// The idempotency registry that is shared with the external processor; `None` if that is disabled.
     pub(super) registry: Option<SharedRegistry>,
--- a/crates/proxy-server/src/server/grpc_front_end.rs
+++ b/crates/proxy-server/src/server/grpc_front_end.rs
@@ -3,19 +3,28 @@
 
 use super::drain::{DRAIN_POLL_INTERVAL, DRAIN_SLACK};
 use external_processor::bridge::{self, Bridge, EngineContext};
-use external_processor::decision_request::RequestCatalog;
+use external_processor::decision_request::RequestParser;
 use external_processor::decision_service::DecisionLimits;
 use external_processor::server::{self, RunningServer, ServerContext, ServerError};
 use external_processor::settings::Settings as ExternalProcessorSettings;
 use http_proxy::config::Config;
 use http_proxy::log::log;
 use http_proxy::transport::{EngineHandle, ProxyTransport};
+use request_engine::class_registry::SharedClasses;
 use request_engine::idempotency::SharedRegistry;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
 
+/// The registries that the external processor shares with the HTTP front end.
+pub(super) struct SharedRegistries {
+    /// The claims of requests.
+    pub(super) claims: SharedRegistry,
+    /// The request classes in force.
+    pub(super) classes: SharedClasses,
+}
+
 /// The running external processor.
 pub(super) struct GrpcFrontEnd {
     bridge: Bridge<ProxyTransport>,
@@ -30,7 +39,7 @@
     pub(super) fn start(
         settings: &ExternalProcessorSettings,
         config: &Config,
-        registry: SharedRegistry,
+        shared: SharedRegistries,
         handle: &EngineHandle,
     ) -> Result<Self, ServerError> {
         let limits = DecisionLimits {
@@ -45,10 +54,10 @@
             lease_events: Rc::clone(&transport.lease_events),
             endpoint_lookup: Box::new(move |backend| backend_pool.address(backend)),
         };
-        let bridge = Bridge::new(&config.settings, limits, registry, engine);
+        let bridge = Bridge::new(limits, shared.claims, shared.classes, engine);
         let (decisions, receivers) = bridge::channels(settings.limits.queue);
         let context = ServerContext {
-            catalog: RequestCatalog::new(&config.settings, &config.names.classes, &config.names.tenants),
+            parser: RequestParser::new(&config.names.tenants),
             load_report_fields: config.names.report_fields.clone(),
             clock: handle.clock(),
             decisions,
--- a/crates/proxy-server/tests/external_processor/main.rs
+++ b/crates/proxy-server/tests/external_processor/main.rs
@@ -4,6 +4,7 @@
 mod decisions;
 mod envoy;
 mod lifecycle;
+mod reload;
 #[path = "../support/mod.rs"]
 mod support;
 
--- a/crates/request-engine/src/idempotency.rs
+++ b/crates/request-engine/src/idempotency.rs
@@ -6,6 +6,7 @@
 //! for the time that their class specifies. The registry is bounded: at its capacity new claims are rejected,
 //! and no claim is removed before its retention time is over.
 
+use crate::class_registry::ClassName;
 use balancer::api::Micros;
 use rustc_hash::FxHashMap;
 use slab::Slab;
@@ -101,10 +102,11 @@
 /// The registry that all front ends of a process use together, on the engine's thread.
 pub type SharedRegistry = Rc<RefCell<IdempotencyRegistry<CompletedRequest>>>;
 
-/// An idempotency key within its class: equal keys of different classes are different keys.
+/// An idempotency key within its class: equal keys of different classes are different keys. The class is named
+/// and not indexed: a reload gives a changed class another index, but its keys remain the same keys.
 #[derive(Clone, PartialEq, Eq, Hash)]
 struct ClassKey {
-    class: u8,
+    class: ClassName,
     key: Box<[u8]>,
 }
 
@@ -153,7 +155,7 @@
         &mut self,
         now: Micros,
         id: &[u8],
-        class: u8,
+        class: &ClassName,
         key: Option<&[u8]>,
     ) -> Result<ClaimStatus<O>, ClaimError> {
         self.remove_expired(now);
@@ -162,7 +164,7 @@
                 return Err(ClaimError::InvalidLength(name.len()));
             }
         }
-        let key = key.map(|key| ClassKey { class, key: key.into() });
+        let key = key.map(|key| ClassKey { class: Rc::clone(class), key: key.into() });
         if let Some(&slot) = self.by_id.get(id) {
             if self.entries[slot].key != key {
                 return Err(ClaimError::KeyMismatch);
--- a/crates/request-engine/src/lib.rs
+++ b/crates/request-engine/src/lib.rs
@@ -5,6 +5,7 @@
 //! reports its result, or the lease expires). [`driver`] is the asynchronous layer: one clock, one timer
 //! task, and the execution of commands by a [`driver::Transport`].
 
+pub mod class_registry;
 pub mod driver;
 pub mod engine;
 pub mod idempotency;
--- /dev/null
+++ b/crates/request-engine/tests/class_registry.rs
@@ -0,0 +1,98 @@
+//! Tests of the class registry together with the idempotency registry: random reloads never separate two
+//! requests with one key.
+
+use balancer::api::{DedupScope, Idempotency, Micros, Settings};
+use proptest::prelude::*;
+use request_engine::class_registry::{ClassRegistry, PREVIOUS_CLASS_GRACE_PERIOD, RequestClass};
+use request_engine::idempotency::{ClaimStatus, IdempotencyRegistry};
+use settings::reload::ClassIndices;
+
+#[path = "harness/settings.rs"]
+mod test_settings;
+
+use test_settings::{MS, SECOND, settings};
+
+const NAME: &str = "submit";
+/// Position of the keyed class in the test settings.
+const KEYED: usize = 2;
+
+/// The classes of a process, as a reload changes them.
+struct Classes {
+    indices: ClassIndices,
+    settings: Settings,
+    registry: ClassRegistry,
+}
+
+impl Classes {
+    /// Starts with one class.
+    fn new(idempotency: Idempotency) -> Self {
+        let settings = with_class(idempotency, 500 * MS);
+        let indices = ClassIndices::new(&[NAME.to_owned()]).expect("valid names");
+        let mut registry = ClassRegistry::default();
+        registry.update(0, &settings, indices.named());
+        Self { indices, settings, registry }
+    }
+
+    fn reload(&mut self, now: Micros, idempotency: Idempotency, objective: Micros) {
+        let new = with_class(idempotency, objective);
+        self.settings = self.indices.reload(&self.settings, &new, &[NAME.to_owned()]).expect("valid classes");
+        self.registry.update(now, &self.settings, self.indices.named());
+    }
+
+    /// The class of a request with a key.
+    fn find(&self, now: Micros) -> RequestClass {
+        self.registry.find(now, NAME, |_| Ok::<(), ()>(())).expect("the class exists")
+    }
+}
+
+fn with_class(idempotency: Idempotency, objective: Micros) -> Settings {
+    let mut settings = settings();
+    let mut class = settings.classes[KEYED].clone();
+    class.idempotency = idempotency;
+    class.latency_objective = objective;
+    settings.classes = vec![class];
+    settings
+}
+
+fn keyed(scope: DedupScope, ttl: Micros) -> Idempotency {
+    Idempotency::Keyed { scope, ttl }
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Reload { idempotency: Idempotency, objective: Micros },
+    Wait(Micros),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let scope = prop_oneof![Just(DedupScope::Cell), Just(DedupScope::Zone), Just(DedupScope::All)];
+    let idempotency = (scope, 3..6_u64).prop_map(|(scope, seconds)| keyed(scope, seconds * SECOND));
+    prop_oneof![
+        2 => (idempotency, 400..500_u64)
+            .prop_map(|(idempotency, ms)| Step::Reload { idempotency, objective: ms * MS }),
+        1 => (0..2 * PREVIOUS_CLASS_GRACE_PERIOD).prop_map(Step::Wait),
+    ]
+}
+
+proptest! {
+    /// Guards against a duplicate execution: the claim of a key was made under the index of the class's
+    /// version, which a reload replaced, so that a later request with the key was claimed as another one.
+    #[test]
+    fn key_in_flight_is_found_after_any_reloads(steps in prop::collection::vec(step(), 0..12)) {
+        let mut classes = Classes::new(keyed(DedupScope::Cell, 3 * SECOND));
+        let mut claims = IdempotencyRegistry::<()>::new(100);
+        let mut now = 0;
+        let first = claims.claim(now, b"first", &classes.find(now).name, Some(b"key"));
+        let Ok(ClaimStatus::New(owner)) = first else { panic!("{first:?}") };
+        for (number, step) in steps.iter().enumerate() {
+            match *step {
+                Step::Wait(time) => now += time,
+                Step::Reload { idempotency, objective } => classes.reload(now, idempotency, objective),
+            }
+            let class = classes.find(now);
+            prop_assert!(class.claim_policy.is_keyed);
+            let claimed = claims.claim(now, &[number as u8], &class.name, Some(b"key"));
+            prop_assert_eq!(claimed, Ok(ClaimStatus::InFlight { owner, since: 0, by_key: true }));
+        }
+    }
+}
--- a/crates/request-engine/tests/idempotency.rs
+++ b/crates/request-engine/tests/idempotency.rs
@@ -2,12 +2,17 @@
 
 use balancer::api::Micros;
 use proptest::prelude::*;
+use request_engine::class_registry::ClassName;
 use request_engine::idempotency::{
     ClaimError, ClaimId, ClaimStatus, ExecutionStatus, IdempotencyRegistry, MAX_ID_BYTES,
 };
 
 const RETENTION: Micros = 3_000_000;
 
+fn class(number: u8) -> ClassName {
+    number.to_string().into()
+}
+
 fn expect_new(claimed: Result<ClaimStatus<u32>, ClaimError>) -> ClaimId {
     match claimed {
         Ok(ClaimStatus::New(claim)) => claim,
@@ -18,20 +23,20 @@
 #[test]
 fn second_claim_returns_the_owner_and_later_the_outcome() {
     let mut claims = IdempotencyRegistry::new(10);
-    let first = expect_new(claims.claim(5, b"a", 1, Some(b"key")));
+    let first = expect_new(claims.claim(5, b"a", &class(1), Some(b"key")));
     let in_flight = |by_key| Ok(ClaimStatus::InFlight { owner: first, since: 5, by_key });
-    assert_eq!(claims.claim(6, b"a", 1, Some(b"key")), in_flight(false));
-    assert_eq!(claims.claim(6, b"b", 1, Some(b"key")), in_flight(true), "another id, the same key");
+    assert_eq!(claims.claim(6, b"a", &class(1), Some(b"key")), in_flight(false));
+    assert_eq!(claims.claim(6, b"b", &class(1), Some(b"key")), in_flight(true), "another id, the same key");
     assert!(claims.complete(10, first, 7, ExecutionStatus::MayHaveExecuted, RETENTION));
     assert!(
         !claims.complete(11, first, 8, ExecutionStatus::MayHaveExecuted, RETENTION),
         "a second final outcome"
     );
     for id in [b"a", b"b"] {
-        assert_eq!(claims.claim(RETENTION + 9, id, 1, Some(b"key")), Ok(ClaimStatus::Completed(7)));
+        assert_eq!(claims.claim(RETENTION + 9, id, &class(1), Some(b"key")), Ok(ClaimStatus::Completed(7)));
     }
     assert_ne!(
-        expect_new(claims.claim(RETENTION + 10, b"a", 1, Some(b"key"))),
+        expect_new(claims.claim(RETENTION + 10, b"a", &class(1), Some(b"key"))),
         first,
         "a new claim after the retention"
     );
@@ -40,46 +45,46 @@
 #[test]
 fn key_belongs_to_its_class_and_is_released_without_an_execution() {
     let mut claims = IdempotencyRegistry::new(10);
-    let first = expect_new(claims.claim(0, b"a", 1, Some(b"key")));
-    expect_new(claims.claim(0, b"b", 2, Some(b"key")));
+    let first = expect_new(claims.claim(0, b"a", &class(1), Some(b"key")));
+    expect_new(claims.claim(0, b"b", &class(2), Some(b"key")));
     assert!(claims.complete(1, first, 503, ExecutionStatus::NotExecuted, RETENTION));
     assert_eq!(
-        claims.claim(2, b"a", 1, Some(b"key")),
+        claims.claim(2, b"a", &class(1), Some(b"key")),
         Ok(ClaimStatus::Completed(503)),
         "the id retains its outcome"
     );
-    let second = expect_new(claims.claim(2, b"c", 1, Some(b"key")));
+    let second = expect_new(claims.claim(2, b"c", &class(1), Some(b"key")));
     // The removal of the first claim must not remove the key of the second one.
     let in_flight = Ok(ClaimStatus::InFlight { owner: second, since: 2, by_key: true });
-    assert_eq!(claims.claim(RETENTION + 2, b"d", 1, Some(b"key")), in_flight);
+    assert_eq!(claims.claim(RETENTION + 2, b"d", &class(1), Some(b"key")), in_flight);
 }
 
 #[test]
 fn rejects_claims_at_capacity_and_removes_none_before_its_time() {
     let mut claims = IdempotencyRegistry::new(2);
-    let first = expect_new(claims.claim(0, b"a", 0, None));
-    expect_new(claims.claim(0, b"b", 0, None));
-    assert_eq!(claims.claim(0, b"c", 0, None), Err(ClaimError::Full(2)));
+    let first = expect_new(claims.claim(0, b"a", &class(0), None));
+    expect_new(claims.claim(0, b"b", &class(0), None));
+    assert_eq!(claims.claim(0, b"c", &class(0), None), Err(ClaimError::Full(2)));
     assert!(claims.complete(0, first, 1, ExecutionStatus::MayHaveExecuted, RETENTION));
-    assert_eq!(claims.claim(RETENTION - 1, b"c", 0, None), Err(ClaimError::Full(2)));
+    assert_eq!(claims.claim(RETENTION - 1, b"c", &class(0), None), Err(ClaimError::Full(2)));
     assert_eq!(
-        claims.claim(RETENTION - 1, b"a", 0, None),
+        claims.claim(RETENTION - 1, b"a", &class(0), None),
         Ok(ClaimStatus::Completed(1)),
         "completed claims are still returned"
     );
-    expect_new(claims.claim(RETENTION, b"c", 0, None));
+    expect_new(claims.claim(RETENTION, b"c", &class(0), None));
 }
 
 #[test]
 fn rejects_invalid_and_mismatched_names_without_a_claim() {
     let mut claims = IdempotencyRegistry::<u32>::new(2);
     for (id, key) in [(&b""[..], None), (&[b'x'; MAX_ID_BYTES + 1], None), (b"a", Some(&b""[..]))] {
-        assert!(matches!(claims.claim(0, id, 0, key), Err(ClaimError::InvalidLength(_))));
+        assert!(matches!(claims.claim(0, id, &class(0), key), Err(ClaimError::InvalidLength(_))));
     }
     assert!(claims.is_empty());
-    expect_new(claims.claim(0, b"a", 0, Some(b"k")));
-    assert_eq!(claims.claim(0, b"a", 0, Some(b"other")), Err(ClaimError::KeyMismatch));
-    assert_eq!(claims.claim(0, b"a", 0, None), Err(ClaimError::KeyMismatch));
+    expect_new(claims.claim(0, b"a", &class(0), Some(b"k")));
+    assert_eq!(claims.claim(0, b"a", &class(0), Some(b"other")), Err(ClaimError::KeyMismatch));
+    assert_eq!(claims.claim(0, b"a", &class(0), None), Err(ClaimError::KeyMismatch));
 }
 
 #[derive(Clone, Debug)]
@@ -169,7 +174,8 @@
 
     fn claim(&mut self, id: u8, key: Option<u8>) -> Result<(), TestCaseError> {
         let key_bytes = key.map(|key| [key]);
-        let status = self.registry.claim(self.now, &[id], CLASS, key_bytes.as_ref().map(|key| &key[..]));
+        let status =
+            self.registry.claim(self.now, &[id], &class(CLASS), key_bytes.as_ref().map(|key| &key[..]));
         let same_id = self.expected_claims.iter().find(|expected| expected.id == id);
         let same_key = self.expected_claims.iter().find(|expected| expected.owns_key(key));
         match (same_id, same_key) {
