Claim a request's key if either version of its class that may apply is keyed

Cause: ClassRegistry::find hands out the stricter of two versions, the unsafe one, and with it that version's claim policy, which ignores keys; the sender may still know the keyed version.

Evidence: with the change `effect` among the changes of a class both tests over processes were red (200 where 503 was due), and so was class_registry::key_is_claimed_if_either_version_is_keyed.

Why it works: how often a request may be retried and how it is claimed are decided apart: the former by the stricter version, the latter as either version requires.

--- a/crates/proxy-server/tests/external_processor/reload.rs
+++ b/crates/proxy-server/tests/external_processor/reload.rs
@@ -24,7 +24,7 @@
 }
 
 /// Changes of the class `submit`, after each of which its key may still be in use.
-const CLASS_CHANGES: [Change; 5] = [
+const CLASS_CHANGES: [Change; 6] = [
     Change { name: "objective", apply: |settings| settings["classes"][SUBMIT]["aimUs"] = json!(9_000_000) },
     Change { name: "wider-scope", apply: |settings| settings["classes"][SUBMIT]["group"] = json!("zone") },
     // Neither version is stricter in all respects, so that a combination of both applies at first.
@@ -35,6 +35,7 @@
             settings["classes"][SUBMIT]["keyTtlUs"] = json!(2_000_000);
         },
     },
+    Change { name: "effect", apply: |settings| settings["classes"][SUBMIT]["effect"] = json!("fragile") },
     Change { name: "removed", apply: |settings| drop(classes(settings).remove(SUBMIT)) },
     Change { name: "reordered", apply: |settings| classes(settings).reverse() },
 ];
--- a/crates/request-engine/src/class_registry.rs
+++ b/crates/request-engine/src/class_registry.rs
@@ -39,6 +39,11 @@
             Idempotency::NonIdempotent => Self { is_keyed: false, retention: class.deadline },
         }
     }
+
+    /// The policy of the version that applies to a request which may be meant under `other` as well.
+    fn combined_with(self, other: Self) -> Self {
+        Self { is_keyed: self.is_keyed || other.is_keyed, ..self }
+    }
 }
 
 /// The rules for requests of one version of a class.
@@ -111,14 +116,17 @@
     }
 
     /// The rules for a request that may be meant under this version or under `current`: the stricter version,
-    /// or a combination of the stricter parts of both.
-    fn strictest_with<'a>(&'a self, current: &'a RequestClass) -> &'a RequestClass {
+    /// or a combination of the stricter parts of both. The request is claimed as either version requires.
+    fn strictest_with(&self, current: &RequestClass) -> RequestClass {
         let is_stricter = self.class.retry_permissiveness() < current.retry_permissiveness();
-        match &self.combined {
+        let class = match &self.combined {
             Some(combined) => combined,
             None if is_stricter => &self.class,
             None => current,
-        }
+        };
+        let either = [&self.class, current].map(|version| version.claim_policy);
+        let claim_policy = either.into_iter().fold(class.claim_policy, ClaimPolicy::combined_with);
+        RequestClass { claim_policy, ..class.clone() }
     }
 }
 
@@ -201,7 +209,7 @@
             None => Err(LookupError::UnknownClass),
         };
         match (current, previous) {
-            (Ok(current), Some(previous)) => Ok(previous.strictest_with(current).clone()),
+            (Ok(current), Some(previous)) => Ok(previous.strictest_with(current)),
             (Err(_), Some(previous)) => Ok(previous.class.clone()),
             (current, None) => current.cloned(),
         }
--- a/crates/request-engine/tests/class_registry.rs
+++ b/crates/request-engine/tests/class_registry.rs
@@ -96,3 +96,20 @@
         }
     }
 }
+
+/// Guards against a duplicate execution: while a sender may know a keyed version of its class, the key of its
+/// request was ignored, since the other version is non-idempotent and stricter.
+#[test]
+fn key_is_claimed_if_either_version_is_keyed() {
+    let keyed = keyed(DedupScope::Cell, 5 * SECOND);
+    for (previous, current) in [(keyed, Idempotency::NonIdempotent), (Idempotency::NonIdempotent, keyed)] {
+        let mut classes = Classes::new(previous);
+        classes.reload(SECOND, current, 500 * MS);
+        let class = classes.find(SECOND);
+        assert_eq!(class.idempotency, Idempotency::NonIdempotent, "retries go by the stricter version");
+        assert!(class.claim_policy.is_keyed, "{previous:?} {current:?}");
+        let current_is_keyed = current != Idempotency::NonIdempotent;
+        let class = classes.find(SECOND + PREVIOUS_CLASS_GRACE_PERIOD);
+        assert_eq!(class.claim_policy.is_keyed, current_is_keyed, "the grace period is over");
+    }
+}
