Retain a key for the longer window of two versions of its class

Cause: ClassRegistry::find hands out the stricter of two versions, and the claim's retention was that version's. The shorter window is strict for retries, the longer one for the memory.

Evidence: class_registry::key_is_retained_for_the_longer_ttl_of_two_versions was red: 3 s of memory where a version has 5 s.

Why it works: the claim is retained as long as either version requires; retries still go by the shorter window.

--- a/crates/request-engine/src/class_registry.rs
+++ b/crates/request-engine/src/class_registry.rs
@@ -40,9 +40,9 @@
         }
     }
 
-    /// The policy of the version that applies to a request which may be meant under `other` as well.
+    /// The policy for a request to which either of two versions of its class may apply.
     fn combined_with(self, other: Self) -> Self {
-        Self { is_keyed: self.is_keyed || other.is_keyed, ..self }
+        Self { is_keyed: self.is_keyed || other.is_keyed, retention: self.retention.max(other.retention) }
     }
 }
 
@@ -124,8 +124,7 @@
             None if is_stricter => &self.class,
             None => current,
         };
-        let either = [&self.class, current].map(|version| version.claim_policy);
-        let claim_policy = either.into_iter().fold(class.claim_policy, ClaimPolicy::combined_with);
+        let claim_policy = self.class.claim_policy.combined_with(current.claim_policy);
         RequestClass { claim_policy, ..class.clone() }
     }
 }
--- a/crates/request-engine/tests/class_registry.rs
+++ b/crates/request-engine/tests/class_registry.rs
@@ -4,7 +4,7 @@
 use balancer::api::{DedupScope, Idempotency, Micros, Settings};
 use proptest::prelude::*;
 use request_engine::class_registry::{ClassRegistry, PREVIOUS_CLASS_GRACE_PERIOD, RequestClass};
-use request_engine::idempotency::{ClaimStatus, IdempotencyRegistry};
+use request_engine::idempotency::{ClaimStatus, ExecutionStatus, IdempotencyRegistry};
 use settings::reload::ClassIndices;
 
 #[path = "harness/settings.rs"]
@@ -113,3 +113,34 @@
         assert_eq!(class.claim_policy.is_keyed, current_is_keyed, "the grace period is over");
     }
 }
+
+/// Guards against a duplicate execution: a key was forgotten after the shorter time to live of the two versions
+/// of its class that may apply, and the sender may have known the longer one.
+#[test]
+fn key_is_retained_for_the_longer_ttl_of_two_versions() {
+    let long = keyed(DedupScope::Cell, 5 * SECOND);
+    let versions = [
+        (long, keyed(DedupScope::Cell, 3 * SECOND)),
+        (keyed(DedupScope::Cell, 3 * SECOND), long),
+        // Neither is stricter in all respects: a combination of both applies.
+        (long, keyed(DedupScope::Zone, 3 * SECOND)),
+        // The effect changes: keys still identify the requests of senders that know the keyed version.
+        (long, Idempotency::NonIdempotent),
+        (Idempotency::NonIdempotent, long),
+    ];
+    for (previous, current) in versions {
+        let mut classes = Classes::new(previous);
+        classes.reload(SECOND, current, 500 * MS);
+        let class = classes.find(SECOND);
+        assert_eq!(class.claim_policy.retention, 5 * SECOND, "{previous:?} {current:?}");
+
+        let mut claims = IdempotencyRegistry::new(100);
+        let claimed = claims.claim(SECOND, b"first", &class.name, Some(b"key"));
+        let Ok(ClaimStatus::New(claim)) = claimed else { panic!("{claimed:?}") };
+        let retention = class.claim_policy.retention;
+        assert!(claims.complete(SECOND, claim, "served", ExecutionStatus::MayHaveExecuted, retention));
+        let later = SECOND + retention - 1;
+        let repeated = claims.claim(later, b"second", &classes.find(later).name, Some(b"key"));
+        assert_eq!(repeated, Ok(ClaimStatus::Completed("served")), "{previous:?} {current:?}");
+    }
+}
