Parse the time left and quote callers' texts in one place for all front ends

Cause: the HTTP front end and the external processor each had the bound on a stated time left and its parsing, and three modules the number of characters that an error quotes.

Change: request_engine::time_left and request_engine::quoted_text; the front ends keep their own error texts.

--- a/crates/external-processor/src/decision_request.rs
+++ b/crates/external-processor/src/decision_request.rs
@@ -6,15 +6,12 @@
 use crate::settings::Headers;
 use balancer::api::Micros;
 use request_engine::idempotency::MAX_ID_BYTES;
+use request_engine::quoted_text::truncated;
 use request_engine::request_key::request_key;
+use request_engine::time_left::{MAX_TIME_LEFT_MS, parse_time_left};
 use rustc_hash::FxHashMap;
 use thiserror::Error;
 
-/// The largest time left that a request may state, milliseconds: one hour.
-const MAX_TIME_LEFT_MS: u64 = 3_600_000;
-/// Maximum number of characters of a caller's text that an error quotes.
-const MAX_QUOTED_CHARS: usize = 64;
-
 /// Why a request or message is invalid.
 #[derive(Clone, Debug, Error, PartialEq, Eq)]
 pub enum InvalidRequest {
@@ -83,11 +80,6 @@
     InvalidRequest::InvalidValue { field: field.into(), problem: problem.into() }
 }
 
-/// The first characters of a caller's text, to be quoted in an error.
-fn truncated(text: &str) -> String {
-    text.chars().take(MAX_QUOTED_CHARS).collect()
-}
-
 impl RequestParser {
     /// Creates a parser for tenants with these names, in the order of the settings.
     #[must_use]
@@ -165,7 +157,7 @@
         };
         let timeout = match text(&names.time_left, head.time_left)? {
             "" => None,
-            digits => Some(parse_milliseconds(&names.time_left, digits)?),
+            digits => Some(time_left(&names.time_left, digits)?),
         };
         let expected_work = text(&names.expected_work, head.expected_work)?;
         let expected_work = (!expected_work.is_empty()).then(|| {
@@ -227,15 +219,10 @@
     }
 }
 
-/// Parses a number of milliseconds and converts it to microseconds.
-fn parse_milliseconds(name: &str, digits: &str) -> Result<Micros, InvalidRequest> {
-    // Integer parsing alone would accept a sign.
-    let is_number = digits.bytes().all(|byte| byte.is_ascii_digit());
-    let milliseconds = is_number.then(|| digits.parse::<u64>().ok()).flatten();
-    let milliseconds = milliseconds.filter(|&ms| ms <= MAX_TIME_LEFT_MS);
-    Ok(milliseconds
-        .ok_or_else(|| invalid_value(name, format!("whole milliseconds to {MAX_TIME_LEFT_MS}")))?
-        * 1_000)
+/// Parses the time left in this field; in microseconds.
+fn time_left(name: &str, digits: &str) -> Result<Micros, InvalidRequest> {
+    let problem = || format!("whole milliseconds to {MAX_TIME_LEFT_MS}");
+    parse_time_left(digits).ok_or_else(|| invalid_value(name, problem()))
 }
 
 #[cfg(test)]
--- a/crates/external-processor/src/decision_service/caller_messages.rs
+++ b/crates/external-processor/src/decision_service/caller_messages.rs
@@ -9,11 +9,9 @@
 use request_engine::idempotency::{ClaimId, ClaimStatus, CompletedRequest, ExecutionStatus, FinalStatus};
 use request_engine::lease::LeaseId;
 use request_engine::lease_events::RequestHandle;
+use request_engine::quoted_text::truncated;
 use smallvec::SmallVec;
 
-/// Maximum number of characters of a caller's text that an error quotes.
-const MAX_QUOTED_CHARS: usize = 64;
-
 /// Checks whether a request with or without an idempotency key matches a version of its class.
 fn check_key(class: &RequestClass, has_key: bool) -> Result<(), ClassMismatch> {
     let is_keyed = matches!(class.idempotency, Idempotency::Keyed { .. });
@@ -70,10 +68,7 @@
         let has_key = request.idempotency_key.is_some();
         let found = self.classes.borrow().find(now, &request.class, |class| check_key(class, has_key));
         found.map_err(|error| match error {
-            LookupError::UnknownClass => {
-                let quoted: String = request.class.chars().take(MAX_QUOTED_CHARS).collect();
-                ClassMismatch::Unknown(quoted.into())
-            }
+            LookupError::UnknownClass => ClassMismatch::Unknown(truncated(&request.class).into()),
             LookupError::Mismatch(mismatch) => mismatch,
         })
     }
--- a/crates/http-proxy/src/clients/read_request.rs
+++ b/crates/http-proxy/src/clients/read_request.rs
@@ -17,12 +17,10 @@
 use request_engine::class_registry::RequestClass;
 use request_engine::engine::{Dispatch, IncomingRequest, RESPONSE_MARGIN};
 use request_engine::request_key::request_key;
+use request_engine::time_left::parse_time_left;
 use std::rc::Rc;
 use std::time::Duration;
 
-/// The maximum valid remaining time, in milliseconds.
-const MAX_TIME_LEFT_MS: u64 = 3_600_000;
-
 pub(super) const CORRELATION_ID: HeaderName = HeaderName::from_static("x-correlation-id");
 pub(super) const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
 const SERVICE_CLASS: HeaderName = HeaderName::from_static("x-service-class");
@@ -167,12 +165,8 @@
 
 /// The remaining time for which the client waits, in microseconds.
 fn time_left(headers: &HeaderMap) -> Result<Micros, RejectedRequest> {
-    // The integer parser would also accept a sign.
-    let digits = header_text(headers, &TIME_LEFT).filter(|v| v.bytes().all(|b| b.is_ascii_digit()));
-    let millis = digits.and_then(|v| v.parse::<u64>().ok()).filter(|&ms| ms <= MAX_TIME_LEFT_MS);
-    let millis =
-        millis.ok_or(RejectedRequest::bad_request("X-Time-Left-Ms is missing or makes no sense\n"))?;
-    Ok(millis * 1_000)
+    let time_left = header_text(headers, &TIME_LEFT).and_then(parse_time_left);
+    time_left.ok_or(RejectedRequest::bad_request("X-Time-Left-Ms is missing or makes no sense\n"))
 }
 
 /// The maximum time of a streamed upload, in microseconds. `length` is that of the body in bytes, if it is
--- a/crates/request-engine/src/lease.rs
+++ b/crates/request-engine/src/lease.rs
@@ -5,6 +5,7 @@
 //! report on a settled lease, or on a lease of another engine, is classified and counted and has no other
 //! effect.
 
+use crate::quoted_text::truncated;
 use balancer::api::{BackendId, Micros, RequestId};
 use rustc_hash::FxHashMap;
 use std::fmt;
@@ -15,8 +16,6 @@
 /// Number of settled leases whose settlement is retained, to distinguish a duplicate report from a late one.
 /// Reports on older leases count as late.
 const SETTLED_HISTORY_LENGTH: usize = 4_096;
-/// Maximum number of characters of a malformed id that its error quotes.
-const MAX_QUOTED_CHARS: usize = 64;
 
 /// The id of a lease. Its text has 33 characters: two hexadecimal numbers of 16 digits, separated by a dash.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -45,7 +44,7 @@
         // `from_str_radix` alone would also accept a sign and other lengths.
         let is_number = |part: &str| part.len() == 16 && part.bytes().all(|byte| byte.is_ascii_hexdigit());
         let number = |part: &str| -> Result<u64, ParseIntError> { u64::from_str_radix(part, 16) };
-        let error = || ParseLeaseIdError(text.chars().take(MAX_QUOTED_CHARS).collect());
+        let error = || ParseLeaseIdError(truncated(text));
         let (incarnation, serial) = text
             .split_once('-')
             .filter(|(incarnation, serial)| is_number(incarnation) && is_number(serial))
