Name the configured retention of the external processor for what it is

Cause: the local name said limit, but the value is a minimum beside that of the class. Change: the name alone. Result: lint and format clean.

--- a/crates/external-processor/src/decision_service/mod.rs
+++ b/crates/external-processor/src/decision_service/mod.rs
@@ -236,11 +236,11 @@
 
     /// How long the final outcome of a request of this class is retained, microseconds.
     fn retention(&self, class: &RequestClass) -> Micros {
-        let limit = match class.idempotency {
+        let configured = match class.idempotency {
             Idempotency::Idempotent => self.limits.idempotent_retention,
             Idempotency::Keyed { .. } => 0,
             Idempotency::NonIdempotent => self.limits.non_idempotent_retention,
         };
-        limit.max(class.claim_policy.retention)
+        configured.max(class.claim_policy.retention)
     }
 }
