--- a/review/7/main.rs
+++ b/review/7/main.rs
@@ -1,117 +1,176 @@
-//! Two configurations in quick succession: a request that its client sent under the class's rules before both is
-//! repeated outside of the group that drops its repeats, and runs twice.
+//! An unsafe request that has run is refused: a 503 that another proxy words after a reset passes through the external
+//! processor, and its client sends the request once more.
 
 #[path = "../common2.rs"]
 mod common2;
 
 use common2::*;
-use std::collections::HashMap;
-use std::net::SocketAddr;
+use std::io::{BufReader, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::PathBuf;
 use std::sync::{Arc, Mutex};
-use std::thread;
+use std::time::Duration;
 
-/// How long the boxes of a group drop a repeat, in all three configurations.
-const KEY_TTL_MS: u64 = 3_000;
-/// Clients use changed settings this much later than the signal.
-const CLIENT_LAG_MS: u64 = 1_200;
-const WARM_UP: u32 = 60;
+const ORDERS: u32 = 60;
+/// One order in this many meets a connection that breaks under it.
+const BROKEN_EVERY: u32 = 10;
 
-fn classes(group: &str, aim_us: u32) -> String {
-    format!(
-        "{{\"name\":\"read\",\"effect\":\"retryable\",\"aimUs\":540000,\"deadlineUs\":1350000,\"worth\":1.0,\"lateWorth\":0.3}},
-{{\"name\":\"submit\",\"effect\":\"dedup\",\"group\":\"{group}\",\"keyTtlUs\":3000000,\"aimUs\":{aim_us},\"deadlineUs\":2620000,\"worth\":3.0,\"lateWorth\":0.3}}"
-    )
+const CLASSES: &str = "{\"name\":\"read\",\"effect\":\"retryable\",\"aimUs\":540000,\"deadlineUs\":1350000,\"worth\":1.0,\"lateWorth\":0.3},
+{\"name\":\"order\",\"effect\":\"fragile\",\"aimUs\":1048000,\"deadlineUs\":2620000,\"worth\":3.0,\"lateWorth\":0.3}";
+
+fn header(name: &str, value: &str) -> Vec<u8> {
+    let mut pair = bytes_field(1, name.as_bytes());
+    pair.extend(bytes_field(3, value.as_bytes()));
+    bytes_field(1, &pair)
+}
+
+/// `ProcessingRequest` with request headers (field 2) or response headers (field 3).
+fn headers_message(number: u64, headers: &[(&str, &str)], details: Option<&str>) -> Vec<u8> {
+    let map: Vec<u8> = headers.iter().flat_map(|(name, value)| header(name, value)).collect();
+    let mut message = bytes_field(number, &bytes_field(1, &map));
+    if let Some(details) = details {
+        let mut entry = bytes_field(1, b"response.code_details");
+        entry.extend(bytes_field(2, &bytes_field(3, details.as_bytes())));
+        let attributes = bytes_field(1, &entry);
+        let mut entry = bytes_field(1, b"envoy.filters.http.ext_proc");
+        entry.extend(bytes_field(2, &attributes));
+        message.extend(bytes_field(9, &entry));
+    }
+    message
 }
 
-#[derive(Default)]
-struct Ledger {
-    /// When a key ran in a cell.
-    memory: HashMap<(u16, String), u64>,
-    /// The boxes in which a key ran.
-    runs: HashMap<String, Vec<String>>,
-    /// Requests by key.
-    attempts: HashMap<String, u32>,
+/// The headers that a `HeaderMutation` sets.
+fn mutations(mutation: &[u8]) -> Vec<(String, String)> {
+    let text = |bytes: Vec<u8>| String::from_utf8_lossy(&bytes).into_owned();
+    let options = fields(mutation).into_iter().filter(|(number, ..)| *number == 1);
+    options
+        .filter_map(|(_, option, _)| {
+            let pair = field(&option, 1)?;
+            Some((text(field(&pair, 1)?), text(field(&pair, 3).or_else(|| field(&pair, 2))?)))
+        })
+        .collect()
 }
 
-fn submit(proxy: SocketAddr, key: &str) {
+/// The status of an `ImmediateResponse`, if the message is one.
+fn immediate_status(message: &[u8]) -> Option<u16> {
+    let response = field(message, 7)?;
+    Some(number(&field(&response, 1)?, 1) as u16)
+}
+
+/// One request through the other proxy: it asks the processor, sends, and passes the answer on. Where the connection
+/// to the box breaks after the request was written, it words a 503 itself, as such proxies do.
+fn through_front(processor: SocketAddr, id: &str, order: &str) -> (u16, String) {
+    let target = format!("/order?key={order}");
+    let Ok(mut stream) = Grpc::open(processor, "/envoy.service.ext_proc.v3.ExternalProcessor/Process") else {
+        return (500, "the processor takes no call".into());
+    };
+    let head = [
+        (":method", "POST"), (":path", target.as_str()), (":authority", "app.svc"), (":scheme", "http"),
+        ("x-correlation-id", id), ("x-service-class", "order"), ("x-time-left-ms", "2000"), ("content-length", "2"),
+    ];
+    let _ = stream.send(&headers_message(2, &head, None), false);
+    let Some(decision) = stream.receive(3_000) else { return (500, "no decision".into()) };
+    if let Some(status) = immediate_status(&decision) {
+        return (status, "the processor's own answer".into());
+    }
+    let mutation = field(&decision, 1).and_then(|r| field(&r, 1)).and_then(|c| field(&c, 2)).unwrap_or_default();
+    let set = mutations(&mutation);
+    let value = |name: &str| set.iter().find(|(n, _)| n == name).map(|(_, value)| value.clone());
+    let Some(endpoint) = value("x-gateway-destination-endpoint").and_then(|e| e.parse::<SocketAddr>().ok()) else {
+        return (500, "no endpoint".into());
+    };
+    let time_left = value("x-time-left-ms").unwrap_or_else(|| "2000".into());
     let text = format!(
-        "POST /submit HTTP/1.1\r\nHost: app.svc\r\nX-Correlation-Id: id-{key}\r\nX-Service-Class: submit\r\nX-Time-Left-Ms: 2600\r\nIdempotency-Key: {key}\r\nContent-Length: 2\r\nConnection: close\r\n\r\n"
+        "POST {target} HTTP/1.1\r\nHost: app.svc\r\nX-Correlation-Id: {id}\r\nX-Service-Class: order\r\nX-Time-Left-Ms: {time_left}\r\nContent-Length: 2\r\n\r\nhi"
     );
-    let answer = call(proxy, &text, b"hi", 4_000);
-    note(&format!("client: {key} is answered {}", answer.map_or_else(|e| e.to_string(), |m| m.status().to_string())));
+    let (status, details, headers) = match TcpStream::connect_timeout(&endpoint, Duration::from_millis(250)) {
+        Err(_) => (503, "upstream_reset_before_response_started{connection_failure}", Vec::new()),
+        Ok(mut connection) => {
+            let _ = connection.set_read_timeout(Some(Duration::from_millis(2_000)));
+            let _ = connection.write_all(text.as_bytes());
+            match read_message(&mut BufReader::new(connection), true) {
+                Ok(Some(answer)) => (answer.status(), "via_upstream", answer.headers),
+                // The box ended the connection after it had the whole request.
+                _ => (503, "upstream_reset_before_response_started{connection_termination}", Vec::new()),
+            }
+        }
+    };
+    let status_text = status.to_string();
+    let mut head = vec![(":status", status_text.as_str())];
+    head.extend(headers.iter().map(|(name, value)| (name.as_str(), value.as_str())));
+    let _ = stream.send(&headers_message(3, &head, Some(details)), false);
+    let told = stream.receive(1_000);
+    stream.finish();
+    match told.as_deref().and_then(immediate_status) {
+        Some(replaced) => (replaced, format!("replaced by the processor, was {status} ({details})")),
+        None => (status, details.to_owned()),
+    }
 }
 
 fn main() {
     let case = begin();
-    let ledger: Arc<Mutex<Ledger>> = Arc::default();
+    // What has run, by order: the box and the id of the request.
+    let runs: Arc<Mutex<Vec<(String, String)>>> = Arc::default();
     let mut members = Vec::new();
-    // Three cells of two boxes, one zone.
-    for number in 0..6_u16 {
+    for number in 1..=6_u16 {
         let (listener, address) = listen();
-        let (name, cell) = (format!("box-{number}"), number / 2);
-        members.push(Member { id: name.clone(), address, zone: "north".into(), cell, phase: "active" });
-        let ledger = Arc::clone(&ledger);
+        let runs = Arc::clone(&runs);
+        let name = format!("box-{number}");
+        members.push(Member { id: name.clone(), address, zone: "north".into(), cell: (number - 1) / 2, phase: "active" });
         serve(listener, move |request| {
-            let key = request.header("idempotency-key").unwrap_or("").to_owned();
-            sleep_ms(80);
-            let now = now_ms();
-            let mut ledger = ledger.lock().unwrap();
-            let attempts = ledger.attempts.entry(key.clone()).or_default();
-            *attempts += 1;
-            let is_first = *attempts == 1;
-            let known = ledger.memory.get(&(cell, key.clone())).is_some_and(|at| now < at + KEY_TTL_MS);
-            if known {
-                note(&format!("{name} (cell {cell}): {key} is a repeat and dropped; answers 200"));
-                return ok("done");
-            }
-            ledger.memory.insert((cell, key.clone()), now);
-            ledger.runs.entry(key.clone()).or_default().push(format!("{name} (cell {cell})"));
-            if is_first && key.starts_with("late") {
-                note(&format!("{name} (cell {cell}): {key} has run; its connection breaks"));
+            let id = request.header("x-correlation-id").unwrap_or("").to_owned();
+            let order = request.target().split("key=").nth(1).unwrap_or("").to_owned();
+            sleep_ms(60);
+            runs.lock().unwrap().push((order.clone(), id.clone()));
+            let index: u32 = order.trim_start_matches("order-").parse().unwrap_or(0);
+            // The first try of such an order: the connection breaks after the order was executed.
+            if common2::case().trouble && index % BROKEN_EVERY == 5 && id.ends_with("-1") {
+                note(&format!("{name}: {order} ({id}) has run; its connection breaks"));
                 return Answer::Break;
             }
-            note(&format!("{name} (cell {cell}): {key} has run; answers 200"));
+            note(&format!("{name}: {order} ({id}) has run; answers 200"));
             ok("done")
         });
     }
-    let (_discovery, discovery) = Discovery::start(members.clone());
-    let listen = free_address();
-    let config = |classes: String| ProxyConfig { seed: 0x8c1f_30d2_7a5b_e964, listen, discovery, console: None, classes, known: members.clone() };
+    let (_discovery, discovery_address) = Discovery::start(members.clone());
+    let (listen_at, processor) = (free_address(), free_address());
+    let config = ProxyConfig { seed: 0x8c1f_30d2_7a5b_e964, listen: listen_at, discovery: discovery_address, console: None, classes: CLASSES.into(), known: members };
     let path = case.tmp.join("config.json");
-    config(classes("cell", 1_048_000)).write(&path);
-    let proxy = start_proxy("proxy", &path, &case.tmp.join("proxy"), &[]);
-    wait_up(listen);
-    for index in 0..WARM_UP {
-        submit(listen, &format!("warm-{index}"));
-    }
+    config.write(&path);
+    let extproc: PathBuf = case.tmp.join("extproc.toml");
+    std::fs::write(&extproc, format!("listen = \"{processor}\"\nreflection = false\n")).expect("extproc.toml");
+    start_proxy("proxy", &path, &case.tmp.join("proxy"), &[("EDGE_EXTPROC", extproc.to_str().unwrap())]);
+    wait_up(listen_at);
+    wait_for("the processor takes connections", 5_000, || TcpStream::connect(processor).is_ok());
 
-    // The first new configuration widens the group, the second one changes what an answer in time is.
-    config(classes("zone", 1_048_000)).write(&path);
-    signal(proxy, "HUP");
-    let first_signal = now_ms();
-    sleep_ms(400);
-    if case.trouble {
-        config(classes("zone", 1_100_000)).write(&path);
-        signal(proxy, "HUP");
-    }
-    sleep_ms(100);
-    // Until 1.2 s after the first signal clients use the class as it was: the boxes of a cell drop a repeat.
-    let mut clients = Vec::new();
-    for index in 0..10 {
-        clients.push(thread::spawn(move || submit(listen, &format!("late-{index}"))));
-        sleep_ms(45);
+    let mut broken = Vec::new();
+    let mut served = 0;
+    for index in 0..ORDERS {
+        let order = format!("order-{index}");
+        // A client sends an unsafe request once more only after a refusal, with a new id.
+        for attempt in 1..=2 {
+            let id = format!("{order}-{attempt}");
+            let (status, details) = through_front(processor, &id, &order);
+            note(&format!("client: {order} ({id}) is answered {status}: {details}"));
+            let has_run = runs.lock().unwrap().iter().any(|(_, run)| *run == id);
+            let is_refused = status == 429 || status == 503;
+            served += u32::from(status == 200);
+            if is_refused && has_run {
+                broken.push(format!("{order}: the client was told {status} (refused, harmless to repeat) for {id}, which had run"));
+            }
+            if !is_refused {
+                break;
+            }
+        }
+        let count = runs.lock().unwrap().iter().filter(|(run, _)| *run == order).count();
+        if count > 1 {
+            broken.push(format!("{order}: ran {count} times"));
+        }
+        sleep_ms(20);
     }
-    if now_ms() > first_signal + CLIENT_LAG_MS {
-        cannot_run("the requests were sent too late");
+    note(&format!("{ORDERS} orders, {served} served"));
+    if served < ORDERS / 2 {
+        cannot_run("fewer than half of the orders were served");
     }
-    clients.into_iter().for_each(|client| client.join().unwrap());
-    let ledger = ledger.lock().unwrap();
-    let mut broken: Vec<String> = ledger
-        .runs
-        .iter()
-        .filter(|(_, boxes)| boxes.len() > 1)
-        .map(|(key, boxes)| format!("{key} ran in {}", boxes.join(" and in ")))
-        .collect();
-    broken.sort();
     verdict(&broken);
 }
