Retry a class that was dropped and added again by the stricter parts of both versions

Cause: which rules hold for a request was held by an index into the settings' classes. The combination of two versions had to stand there as a class of its own, and ClassIndices put one there only for a change in one step; without it ClassRegistry took one version whole.

Change: a request carries its effect (Request::idempotency). ClassRegistry computes the stricter parts of the versions that may apply when it looks a class up; the balancer reads the request's effect in place of that of the class. Combinations take no index any more.

The registry's test failed before (Cell, 4 s where Cell, 1 s is due), and the one over processes (2 attempts where 1 is due); both pass.

--- a/crates/balancer/src/api/event.rs
+++ b/crates/balancer/src/api/event.rs
@@ -1,6 +1,6 @@
 //! Events that the proxy passes to an instance.
 
-use super::{BackendId, MembershipUpdate, Micros, Outcome, RequestId, Settings};
+use super::{BackendId, Idempotency, MembershipUpdate, Micros, Outcome, RequestId, Settings};
 
 /// A request that a client sent.
 #[derive(Clone, Copy, Debug)]
@@ -9,6 +9,9 @@
     pub id: RequestId,
     /// Index of its class in the settings.
     pub class: u8,
+    /// The effect of executing it more than once; `None`: that of its class. It differs if the client may know
+    /// another version of the class.
+    pub idempotency: Option<Idempotency>,
     /// Index of its tenant in the settings.
     pub tenant: u16,
     /// Hash of the object that the request refers to, if the client named one.
--- a/crates/balancer/src/api/settings.rs
+++ b/crates/balancer/src/api/settings.rs
@@ -46,20 +46,18 @@
 }
 
 impl Idempotency {
-    /// The narrower scope of the one and the shorter `ttl` of the other, for a request to which either of two
-    /// versions of its class may apply (rule 2). `None` unless both are keyed and each is stricter than the
-    /// other in one respect.
+    /// The rules for a request to which either of two versions of its class may apply (rule 2): the narrower
+    /// scope and the shorter `ttl` of both, and no retry after an execution if either forbids it.
     #[must_use]
-    pub fn combined_with(self, other: Self) -> Option<Self> {
-        let (Self::Keyed { scope: first_scope, ttl: first_ttl }, Self::Keyed { scope, ttl }) = (self, other)
-        else {
-            return None;
-        };
-        if first_scope.is_narrower_than(scope) && first_ttl > ttl {
-            return Some(Self::Keyed { scope: first_scope, ttl });
+    pub fn combined_with(self, other: Self) -> Self {
+        match (self, other) {
+            (Self::NonIdempotent, _) | (_, Self::NonIdempotent) => Self::NonIdempotent,
+            (Self::Idempotent, rules) | (rules, Self::Idempotent) => rules,
+            (Self::Keyed { scope: first_scope, ttl: first_ttl }, Self::Keyed { scope, ttl }) => {
+                let narrower = if first_scope.is_narrower_than(scope) { first_scope } else { scope };
+                Self::Keyed { scope: narrower, ttl: first_ttl.min(ttl) }
+            }
         }
-        let is_reverse = scope.is_narrower_than(first_scope) && ttl > first_ttl;
-        is_reverse.then_some(Self::Keyed { scope, ttl: first_ttl })
     }
 }
 
--- a/crates/balancer/src/balancer/admission.rs
+++ b/crates/balancer/src/balancer/admission.rs
@@ -1,6 +1,7 @@
 //! Admission: which requests are sent at once, queued or ended, and the order in which queued ones are sent.
 
 use super::Balancer;
+use super::retries::may_reject;
 use super::timer::Timer;
 use crate::api::{Action, Micros, Request, UnservedCause};
 use crate::state::{AttemptState, OpenRequest, RetryScope};
@@ -19,9 +20,11 @@
         if self.requests.open.find(request.id).is_some() {
             return;
         }
+        let class = usize::from(request.class).min(self.settings.classes.len() - 1);
         let open = OpenRequest {
             id: request.id,
-            class: usize::from(request.class).min(self.settings.classes.len() - 1),
+            class,
+            idempotency: request.idempotency.unwrap_or(self.settings.classes[class].idempotency),
             arrived_at: now,
             deadline: now + request.timeout,
             max_attempts: usize::from(self.settings.permissions.max_attempts),
@@ -140,7 +143,7 @@
         let request = open.id;
         let never_executed = open.attempts.iter().all(|attempt| attempt.state == AttemptState::NeverExecuted);
         let lacked_capacity = !open.is_over_quota && never_executed;
-        out.push(if self.may_reject(open) {
+        out.push(if may_reject(open) {
             let longest = self.settings.permissions.max_retry_after;
             let retry_after = longest.map_or(0, |longest| longest.min(self.retry_after(open.class)));
             Action::Reject { request, retry_after }
--- a/crates/balancer/src/balancer/attempts.rs
+++ b/crates/balancer/src/balancer/attempts.rs
@@ -1,6 +1,7 @@
 //! Attempts: start, change to a session, and end.
 
 use super::Balancer;
+use super::retries::start_by;
 use crate::api::{Action, AttemptResult, Idempotency, Micros, RequestId};
 use crate::state::{Attempt, AttemptState};
 
@@ -26,7 +27,7 @@
         self.count_attempt(now, backend_index);
         let request = &self.requests.open[request_index];
         let timeout = self.attempt_timeout(now, request);
-        let start_by = self.start_by(request);
+        let start_by = start_by(request);
         let backend = &mut self.fleet.backends[backend_index];
         backend.references += 1;
         let request = &mut self.requests.open[request_index];
@@ -49,7 +50,7 @@
         let request = &self.requests.open[request_index];
         let (Some(identity), None) = (request.identity, request.earlier_execution) else { return };
         let Some(execution) = request.first_effective_attempt() else { return };
-        let key_ttl = match self.settings.classes[request.class].idempotency {
+        let key_ttl = match request.idempotency {
             Idempotency::Keyed { ttl, .. } => ttl,
             Idempotency::Idempotent | Idempotency::NonIdempotent => 0,
         };
--- a/crates/balancer/src/balancer/retries.rs
+++ b/crates/balancer/src/balancer/retries.rs
@@ -21,6 +21,23 @@
     pub(super) means_loss: bool,
 }
 
+/// Rule 2: the latest time at which the next attempt may begin; `Micros::MAX` for no limit. Establishing
+/// its connection may take until the backends no longer remember the idempotency key.
+pub(super) fn start_by(request: &OpenRequest) -> Micros {
+    match (request.first_execution(), request.idempotency) {
+        (Some(first), Idempotency::Keyed { ttl, .. }) => first.sent_at.saturating_add(ttl),
+        _ => Micros::MAX,
+    }
+}
+
+/// Rule 2: whether a response may indicate to the client that a retry is safe.
+pub(super) fn may_reject(request: &OpenRequest) -> bool {
+    match request.idempotency {
+        Idempotency::Idempotent | Idempotency::Keyed { scope: DedupScope::All, .. } => true,
+        Idempotency::Keyed { .. } | Idempotency::NonIdempotent => request.first_execution().is_none(),
+    }
+}
+
 impl Balancer {
     /// Rule 2: the backends to which the next attempt may be sent. Unfinished attempts may have executed.
     pub(super) fn retry_scope(&self, now: Micros, request: &OpenRequest) -> RetryScope {
@@ -34,7 +51,7 @@
         if request.has_earlier_attempt_in_flight() && !self.settings.permissions.hedging {
             return RetryScope::Nowhere;
         }
-        match self.settings.classes[request.class].idempotency {
+        match request.idempotency {
             Idempotency::Idempotent => RetryScope::Anywhere,
             Idempotency::NonIdempotent => RetryScope::Nowhere,
             Idempotency::Keyed { ttl, .. } if now >= first.sent_at.saturating_add(ttl) => RetryScope::Nowhere,
@@ -46,23 +63,6 @@
         }
     }
 
-    /// Rule 2: the latest time at which the next attempt may begin; `Micros::MAX` for no limit. Establishing
-    /// its connection may take until the backends no longer remember the idempotency key.
-    pub(super) fn start_by(&self, request: &OpenRequest) -> Micros {
-        match (request.first_execution(), self.settings.classes[request.class].idempotency) {
-            (Some(first), Idempotency::Keyed { ttl, .. }) => first.sent_at.saturating_add(ttl),
-            _ => Micros::MAX,
-        }
-    }
-
-    /// Rule 2: whether a response may indicate to the client that a retry is safe.
-    pub(super) fn may_reject(&self, request: &OpenRequest) -> bool {
-        match self.settings.classes[request.class].idempotency {
-            Idempotency::Idempotent | Idempotency::Keyed { scope: DedupScope::All, .. } => true,
-            Idempotency::Keyed { .. } | Idempotency::NonIdempotent => request.first_execution().is_none(),
-        }
-    }
-
     /// Whether the response to an attempt that starts now would probably be too late to have any value.
     pub(super) fn is_too_late(&self, now: Micros, request: &OpenRequest) -> bool {
         let class = &self.settings.classes[request.class];
@@ -109,7 +109,7 @@
     pub(super) fn attempt_timeout(&self, now: Micros, request: &OpenRequest) -> AttemptTimeout {
         let class = &self.settings.classes[request.class];
         let is_last = request.attempts.len() + 1 >= request.max_attempts;
-        if is_last || class.idempotency == Idempotency::NonIdempotent || self.retry_budget.is_empty() {
+        if is_last || request.idempotency == Idempotency::NonIdempotent || self.retry_budget.is_empty() {
             return AttemptTimeout { timeout_at: request.deadline, means_loss: false };
         }
         let mean_us = self.traffic.latencies.class_mean_us(request.class);
--- a/crates/balancer/src/balancer/selection.rs
+++ b/crates/balancer/src/balancer/selection.rs
@@ -108,12 +108,11 @@
             return None;
         }
         let quota_factor = if request.is_over_quota { OVER_QUOTA_LIMIT_FRACTION } else { 1.0 };
-        let class = &self.settings.classes[request.class];
         Some(Criteria {
             scope,
             limit_factor: self.slot_budget.limit_factor * quota_factor,
             overdue_time: self.overdue_time(request.class),
-            is_retryable: class.idempotency != Idempotency::NonIdempotent,
+            is_retryable: request.idempotency != Idempotency::NonIdempotent,
             is_idle: in_flight == 0,
             tried_backends: request.attempts.iter().map(|attempt| attempt.backend_index).collect(),
         })
--- a/crates/balancer/src/state/request.rs
+++ b/crates/balancer/src/state/request.rs
@@ -1,7 +1,7 @@
 //! Open requests and their attempts.
 
 use super::Execution;
-use crate::api::{Micros, RequestId, RequestIdentity};
+use crate::api::{Idempotency, Micros, RequestId, RequestIdentity};
 use crate::slot_map::SlotMap;
 use smallvec::SmallVec;
 
@@ -52,6 +52,7 @@
 pub(crate) struct OpenRequest {
     pub(crate) id: RequestId,
     pub(crate) class: usize,
+    pub(crate) idempotency: Idempotency,
     pub(crate) arrived_at: Micros,
     pub(crate) deadline: Micros,
     pub(crate) max_attempts: usize,
--- a/crates/balancer/tests/common/fixtures.rs
+++ b/crates/balancer/tests/common/fixtures.rs
@@ -101,6 +101,7 @@
     Request {
         id,
         class,
+        idempotency: None,
         tenant: 0,
         key: None,
         timeout: 2 * SECOND,
--- a/crates/external-processor/src/decision_service/messages.rs
+++ b/crates/external-processor/src/decision_service/messages.rs
@@ -57,6 +57,7 @@
     pub fn to_incoming<W>(&self, class: &RequestClass) -> IncomingRequest<W> {
         IncomingRequest {
             class: class.index,
+            idempotency: Some(class.idempotency),
             tenant: self.tenant,
             key: self.affinity_key,
             arrived_at: self.arrived_at,
--- a/crates/http-proxy/src/class_check/tests.rs
+++ b/crates/http-proxy/src/class_check/tests.rs
@@ -80,8 +80,7 @@
         let second = indices.reload(&first, &settings(&[current]), &names).expect("good settings");
         classes.update(100, &second, indices.named());
         let applied = |classes: &ClassRegistry, at| {
-            let class = find_class(classes, at, "lift", &Method::POST, true).expect("a class");
-            second.classes[usize::from(class.index)].idempotency
+            find_class(classes, at, "lift", &Method::POST, true).expect("a class").idempotency
         };
         let grace_end = 100 + PREVIOUS_CLASS_GRACE_PERIOD;
         assert_eq!(applied(&classes, 100), keyed(DedupScope::Cell, 5), "{previous:?} {current:?}");
--- a/crates/http-proxy/src/clients/read_request.rs
+++ b/crates/http-proxy/src/clients/read_request.rs
@@ -97,6 +97,7 @@
         });
         let request = IncomingRequest {
             class: class.index,
+            idempotency: Some(class.idempotency),
             tenant,
             key,
             arrived_at,
--- a/crates/proxy-server/tests/external_processor/reload.rs
+++ b/crates/proxy-server/tests/external_processor/reload.rs
@@ -12,6 +12,7 @@
 use external_processor::generated::decisions_client::DecisionsClient;
 use serde_json::{Value, json};
 use std::sync::mpsc::{Receiver, channel};
+use std::time::Duration;
 use tonic::transport::Channel;
 
 /// Position of the keyed class `submit` in [`balancer_settings`].
@@ -211,3 +212,77 @@
         assert_eq!((second.attempt, second.repeat), (1, pb::Repeat::Always as i32));
     });
 }
+
+/// How long a backend of [`start_with_breaking_backends`] takes until it breaks the connection of a request.
+const TIME_TO_BREAK: Duration = Duration::from_millis(600);
+/// A time to live of keys that is over when a backend breaks the connection.
+const SHORT_TTL_US: u64 = 400_000;
+
+/// Starts a proxy with two cells of two backends, which break the connection of each request that they have
+/// executed.
+fn start_with_breaking_backends(name: &str) -> (ProxyUnderTest, Vec<Backend>) {
+    let breaks =
+        || BackendAction::DelayThen(TIME_TO_BREAK, Box::new(BackendAction::WriteAndClose(Vec::new())));
+    let backends: Vec<Backend> = (0..4).map(|_| Backend::start(move |_| breaks())).collect();
+    let entry = |(number, backend): (usize, &Backend)| {
+        let mut entry = backend_entry(&format!("b{number}"), backend.address, "active", 0);
+        entry["cell"] = json!(number / 2);
+        entry
+    };
+    let entries: Vec<Value> = backends.iter().enumerate().map(entry).collect();
+    (start_proxy(name, "", &entries), backends)
+}
+
+fn set_group_and_ttl(settings: &mut Value, group: &str, ttl_us: u64) {
+    settings["classes"][SUBMIT]["group"] = json!(group);
+    settings["classes"][SUBMIT]["keyTtlUs"] = json!(ttl_us);
+}
+
+/// Reloads in quick succession.
+struct Succession {
+    name: &'static str,
+    changes: &'static [fn(&mut Value)],
+    /// Whether a version that may apply has a time to live that is over when the connection breaks.
+    is_ttl_over: bool,
+}
+
+const SUCCESSIONS: [Succession; 1] = [Succession {
+    name: "added-again",
+    changes: &[
+        |settings| drop(classes(settings).remove(SUBMIT)),
+        |settings| set_group_and_ttl(settings, "zone", SHORT_TTL_US),
+    ],
+    is_ttl_over: true,
+}];
+
+/// Guards against a duplicate execution: after reloads in quick succession, a keyed request was retried by the
+/// rules of some versions of its class, although its sender might know another one.
+#[test]
+fn request_is_retried_by_the_strictest_rules_of_all_versions_that_may_apply() {
+    for Succession { name, changes, is_ttl_over } in SUCCESSIONS {
+        let (mut proxy, backends) = start_with_breaking_backends(&format!("ep-versions-{name}"));
+        for change in changes {
+            reload(&mut proxy, change);
+        }
+        run(async {
+            let mut client = connect_client(proxy.external_processor).await;
+            let first = expect_send(send_decide(&mut client, decide_keyed("a", "k")).await);
+            let status = proxy.process.client().exchange(&http_keyed("b", "l")).status();
+            assert_eq!(status, 502, "{name}: a request that may have run is not rejected");
+            let attempts: Vec<usize> = backends.iter().map(Backend::take_request_count).collect();
+            let cells: Vec<usize> = attempts.chunks(2).map(|cell| cell.iter().sum()).collect();
+            assert!(cells.contains(&0), "{name}: retried in another cell: {attempts:?}");
+            let has_retry = attempts.iter().sum::<usize>() > 1;
+            assert_eq!(has_retry, !is_ttl_over, "{name}: {attempts:?}");
+
+            let cell_of = |decision: &pb::Send| {
+                let endpoint = decision.endpoint.parse().expect("an address");
+                backends.iter().position(|backend| backend.address == endpoint).expect("a backend") / 2
+            };
+            match send_report(&mut client, report(&first.lease, pb::Outcome::Reset)).await {
+                Answer::Send(retry) if !is_ttl_over => assert_eq!(cell_of(&retry), cell_of(&first), "{name}"),
+                answer => assert_eq!(expect_final(&answer), (pb::End::Failed, false), "{name}"),
+            }
+        });
+    }
+}
--- /dev/null
+++ b/crates/request-engine/src/class_registry/request_class.rs
@@ -0,0 +1,67 @@
+//! The rules for requests of a class, by one version of it or by several that may apply.
+
+use super::ClassName;
+use balancer::api::{Class, Idempotency, Micros};
+use std::rc::Rc;
+
+/// How requests of a class are claimed in the [idempotency registry](crate::idempotency).
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ClaimPolicy {
+    /// Whether requests with the same idempotency key are retries of one another.
+    pub is_keyed: bool,
+    /// How long the final outcome is retained at least, in microseconds.
+    pub retention: Micros,
+}
+
+impl ClaimPolicy {
+    fn of(class: &Class) -> Self {
+        match class.idempotency {
+            Idempotency::Idempotent => Self { is_keyed: false, retention: 0 },
+            Idempotency::Keyed { ttl, .. } => Self { is_keyed: true, retention: ttl.max(class.deadline) },
+            Idempotency::NonIdempotent => Self { is_keyed: false, retention: class.deadline },
+        }
+    }
+
+    /// The policy for a request to which either of two versions of its class may apply.
+    fn combined_with(self, other: Self) -> Self {
+        Self { is_keyed: self.is_keyed || other.is_keyed, retention: self.retention.max(other.retention) }
+    }
+}
+
+/// The rules for a request of a class.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RequestClass {
+    /// The name of the class, the same for all its versions.
+    pub name: ClassName,
+    /// The index in the settings of the version by whose objective and weight the request is served.
+    pub index: u8,
+    /// The response deadline of a request, as a duration from its arrival in microseconds.
+    pub deadline: Micros,
+    /// The effect of executing a request more than once, by every version that may apply.
+    pub idempotency: Idempotency,
+    /// How requests are claimed.
+    pub claim_policy: ClaimPolicy,
+}
+
+impl RequestClass {
+    /// The version of the class `name` that has this index in the settings.
+    pub(super) fn new(name: &ClassName, index: usize, class: &Class) -> Option<Self> {
+        Some(Self {
+            name: Rc::clone(name),
+            index: u8::try_from(index).ok()?,
+            deadline: class.deadline,
+            idempotency: class.idempotency,
+            claim_policy: ClaimPolicy::of(class),
+        })
+    }
+
+    /// The rules for a request that may be meant under this version of its class or under an `earlier` one: the
+    /// stricter parts of both. The request is claimed as either version requires.
+    pub(super) fn combined_with(&self, earlier: &Self) -> Self {
+        let idempotency = self.idempotency.combined_with(earlier.idempotency);
+        let claim_policy = self.claim_policy.combined_with(earlier.claim_policy);
+        let is_earlier = idempotency == earlier.idempotency && idempotency != self.idempotency;
+        let version = if is_earlier { earlier } else { self };
+        Self { idempotency, claim_policy, ..version.clone() }
+    }
+}
--- a/crates/request-engine/src/engine/events.rs
+++ b/crates/request-engine/src/engine/events.rs
@@ -44,6 +44,7 @@
         let request = Request {
             id,
             class: incoming.class,
+            idempotency: incoming.idempotency,
             tenant: incoming.tenant,
             key: incoming.key,
             // The margin takes at most half of the remaining time, so that a short deadline leaves some to
--- a/crates/request-engine/src/messages.rs
+++ b/crates/request-engine/src/messages.rs
@@ -1,7 +1,7 @@
 //! Messages between the engine, its front ends and its transport.
 
 use crate::lease::LeaseId;
-use balancer::api::{BackendId, Micros, Outcome, RequestId, RequestIdentity, UnservedCounts};
+use balancer::api::{BackendId, Idempotency, Micros, Outcome, RequestId, RequestIdentity, UnservedCounts};
 use thiserror::Error;
 
 /// Types of the front ends that pass through the engine as opaque values.
@@ -33,6 +33,9 @@
 pub struct IncomingRequest<O> {
     /// Index of the request class in the settings.
     pub class: u8,
+    /// The effect of executing the request more than once, by every version of its class that may apply; `None`:
+    /// that of its class.
+    pub idempotency: Option<Idempotency>,
     /// Index of the tenant in the settings.
     pub tenant: u16,
     /// Affinity key; see [`request_key`](crate::request_key::request_key).
--- a/crates/request-engine/tests/class_registry.rs
+++ b/crates/request-engine/tests/class_registry.rs
@@ -13,6 +13,8 @@
 use test_settings::{MS, SECOND, settings};
 
 const NAME: &str = "submit";
+/// A class that no reload changes.
+const OTHER: &str = "read";
 /// Position of the keyed class in the test settings.
 const KEYED: usize = 2;
 
@@ -24,10 +26,10 @@
 }
 
 impl Classes {
-    /// Starts with one class.
+    /// Starts with one class beside another one.
     fn new(idempotency: Idempotency) -> Self {
         let settings = with_class(idempotency, 500 * MS);
-        let indices = ClassIndices::new(&[NAME.to_owned()]).expect("valid names");
+        let indices = ClassIndices::new(&[OTHER.to_owned(), NAME.to_owned()]).expect("valid names");
         let mut registry = ClassRegistry::default();
         registry.update(0, &settings, indices.named());
         Self { indices, settings, registry }
@@ -35,7 +37,18 @@
 
     fn reload(&mut self, now: Micros, idempotency: Idempotency, objective: Micros) {
         let new = with_class(idempotency, objective);
-        self.settings = self.indices.reload(&self.settings, &new, &[NAME.to_owned()]).expect("valid classes");
+        self.apply(now, &new, &[OTHER.to_owned(), NAME.to_owned()]);
+    }
+
+    /// Removes the class; the other one remains.
+    fn remove(&mut self, now: Micros) {
+        let mut new = with_class(Idempotency::Idempotent, 500 * MS);
+        new.classes.truncate(1);
+        self.apply(now, &new, &[OTHER.to_owned()]);
+    }
+
+    fn apply(&mut self, now: Micros, new: &Settings, names: &[String]) {
+        self.settings = self.indices.reload(&self.settings, new, names).expect("valid classes");
         self.registry.update(now, &self.settings, self.indices.named());
     }
 
@@ -50,7 +63,7 @@
     let mut class = settings.classes[KEYED].clone();
     class.idempotency = idempotency;
     class.latency_objective = objective;
-    settings.classes = vec![class];
+    settings.classes = vec![settings.classes[0].clone(), class];
     settings
 }
 
@@ -144,3 +157,23 @@
         assert_eq!(repeated, Ok(ClaimStatus::Completed("served")), "{previous:?} {current:?}");
     }
 }
+
+/// Guards against a duplicate execution: a class that was removed and added again with a shorter time to live
+/// was retried for the longer one of its earlier version.
+#[test]
+fn class_added_again_is_retried_by_the_stricter_parts_of_both_versions() {
+    let versions = [
+        (keyed(DedupScope::Cell, 4 * SECOND), keyed(DedupScope::Zone, SECOND)),
+        (keyed(DedupScope::Zone, SECOND), keyed(DedupScope::Cell, 4 * SECOND)),
+    ];
+    for (earlier, added) in versions {
+        let mut classes = Classes::new(earlier);
+        classes.remove(SECOND);
+        classes.reload(SECOND + 400 * MS, added, 500 * MS);
+        let class = classes.find(SECOND + 400 * MS);
+        assert_eq!(class.idempotency, keyed(DedupScope::Cell, SECOND), "{earlier:?} {added:?}");
+        assert_eq!(class.claim_policy.retention, 4 * SECOND, "{earlier:?} {added:?}");
+        let class = classes.find(SECOND + PREVIOUS_CLASS_GRACE_PERIOD);
+        assert_eq!(class.idempotency, added, "the grace period of the earlier version is over");
+    }
+}
--- a/crates/request-engine/tests/harness/mod.rs
+++ b/crates/request-engine/tests/harness/mod.rs
@@ -134,6 +134,7 @@
         self.next_client += 1;
         let incoming = IncomingRequest {
             class,
+            idempotency: None,
             tenant: 0,
             key: None,
             arrived_at: self.now,
--- a/crates/settings/src/reload/classes.rs
+++ b/crates/settings/src/reload/classes.rs
@@ -2,8 +2,7 @@
 //!
 //! Open requests retain the index of the class under which they arrived, so an index never changes its class.
 //! An unchanged class retains its index, a new or changed one is appended, and the index of a removed one
-//! remains in use for its open requests. If neither version of a changed class is stricter in all respects, a
-//! combination of both is appended after the new version, for requests that may be intended under either.
+//! remains in use for its open requests.
 
 use super::ReloadError;
 use balancer::api::{Class, Idempotency, Settings};
@@ -12,11 +11,10 @@
 /// byte.
 pub const MAX_CLASSES: usize = 256;
 
-/// The names of the current classes of a proxy by index, with unnamed entries for removed and combined
-/// classes.
+/// The names of the current classes of a proxy by index, with unnamed entries for removed classes.
 #[derive(Clone, Debug, Default)]
 pub struct ClassIndices {
-    /// The name of each class; `None` for a removed or combined one.
+    /// The name of each class; `None` for a removed one.
     names: Vec<Option<String>>,
 }
 
@@ -58,10 +56,6 @@
             } else {
                 classes.push(class.clone());
                 merged_names.push(Some(name.clone()));
-                if let Some(combined) = self.combined_class(name, class, &current.classes) {
-                    classes.push(combined);
-                    merged_names.push(None);
-                }
             }
         }
         if classes.len() > MAX_CLASSES {
@@ -79,13 +73,6 @@
         })
     }
 
-    /// Combines a changed class with its current version, if neither is stricter in all respects.
-    fn combined_class(&self, name: &str, class: &Class, current: &[Class]) -> Option<Class> {
-        let (index, _) = self.named().find(|&(_, known)| known == name)?;
-        let idempotency = current[index].idempotency.combined_with(class.idempotency)?;
-        Some(Class { idempotency, ..class.clone() })
-    }
-
     /// Returns the index of the current class of this name if it equals `class`.
     fn unchanged_index(&self, name: &str, class: &Class, classes: &[Class]) -> Option<usize> {
         let is_unchanged = |&(index, known): &(usize, &str)| known == name && classes[index] == *class;
--- a/crates/simulator-adapter/src/protocol/record.rs
+++ b/crates/simulator-adapter/src/protocol/record.rs
@@ -134,6 +134,7 @@
         Some(Request {
             id: request,
             class,
+            idempotency: None,
             tenant,
             key: (affinity_key != 0).then_some(affinity_key),
             timeout: Micros::from(timeout_us),
--- a/crates/testbed/benches/decision.rs
+++ b/crates/testbed/benches/decision.rs
@@ -88,6 +88,7 @@
         let request = Request {
             id,
             class: 0,
+            idempotency: None,
             tenant: 0,
             key: None,
             timeout: 1_500_000,
--- a/crates/testbed/src/virtual_time/requests.rs
+++ b/crates/testbed/src/virtual_time/requests.rs
@@ -36,6 +36,7 @@
         let client = index as u64;
         let arrival = IncomingRequest {
             class: arrival.class,
+            idempotency: None,
             tenant: arrival.tenant,
             key: None,
             arrived_at: self.now,
