End a response that never ends within its client's time, or cut it off within the slack

Cause: receive_body took any response without a length that was still arriving at the client's deadline for one that may be large, and StreamedResponse ended what it passed on late only after a pause of 450 ms, which each byte began anew. Nothing looked at how much had come, and nothing bounded the whole while under 64 KiB had.

Change: body::late_limit holds the rule, without I/O. One that is passed on late has 450 ms, and more only for what it brings at that rate, until it is over 64 KiB. Of the same class: a large response with a length is passed on from its first byte, not from its head; a body of another status than 200 is waited for only until its attempt's deadline. receive_body has a module of its own.

Test changed: response_without_length_that_stops_after_the_deadline_is_cut_off_in_time wrote 25 bytes in all, which now fail in time with 502; it writes 60,000 and asks for the same cut, and the drip stands in the new test, which asks for the 502.

Costs honest clients: a late small response without a length below 32 kB/s is a 502 in time instead of a late 200; a large one that has come at under that rate by its client's time fails as well.

--- a/crates/http-proxy/src/body.rs
+++ b/crates/http-proxy/src/body.rs
@@ -1,14 +1,16 @@
 //! Message bodies: small ones are buffered, larger ones are streamed.
 
+mod late_limit;
 mod memory_budget;
 mod received_bytes;
 mod streamed_response;
 mod streamed_upload;
 mod tracked_response;
 
+pub use late_limit::{LateLimit, ResponseArrival};
 pub use memory_budget::{MemoryBudget, MemoryReservation};
 pub use received_bytes::{ReceivedBytes, compact};
-pub use streamed_response::{LATE_INACTIVITY_TIMEOUT, OnComplete, StreamedResponse};
+pub use streamed_response::{OnComplete, StreamedResponse};
 pub use streamed_upload::{StreamedUpload, UploadSource};
 pub use tracked_response::TrackedResponse;
 
--- a/crates/http-proxy/src/body/streamed_response.rs
+++ b/crates/http-proxy/src/body/streamed_response.rs
@@ -1,22 +1,19 @@
 //! A response body that is forwarded while it arrives.
 
-use super::{BodyError, FramePoll, StreamedBody, compact};
+use super::late_limit::LATE_INACTIVITY_TIMEOUT;
+use super::{BodyError, FramePoll, LateLimit, StreamedBody, compact};
 use crate::exchange::PartialBody;
-use crate::size_limits::{MAX_BODY_BYTES, MAX_BUFFERED_BODY_BYTES};
+use crate::size_limits::MAX_BODY_BYTES;
 use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming};
 use std::fmt;
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
-use tokio::time::{Instant, Sleep, sleep};
+use tokio::time::{Instant, Sleep, sleep_until};
 
 /// The maximum time for which a backend may send nothing within a streamed response.
 const INACTIVITY_TIMEOUT: Duration = Duration::from_secs(10);
-/// The same if the client's time is over and the response may turn out to be small: less than the half second
-/// after which a late response counts as lost.
-pub const LATE_INACTIVITY_TIMEOUT: Duration = Duration::from_millis(450);
-
 /// Called once a response is complete, to release the backend connection.
 pub type OnComplete = Box<dyn FnOnce()>;
 
@@ -26,9 +23,9 @@
     remaining: Incoming,
     length: Option<u64>,
     forwarded_bytes: u64,
-    /// The client's time was over before the body was known to be large.
-    is_late: bool,
-    inactivity_timer: Pin<Box<Sleep>>,
+    /// The time limit if the client's time was over before the body was known to be large.
+    late_limit: Option<LateLimit>,
+    timer: Pin<Box<Sleep>>,
     on_complete: Option<OnComplete>,
 }
 
@@ -47,23 +44,34 @@
     #[must_use]
     pub fn new(partial: PartialBody, on_complete: OnComplete) -> Self {
         let PartialBody { received, remaining, length, is_late } = partial;
-        let inactivity_timeout = if is_late { LATE_INACTIVITY_TIMEOUT } else { INACTIVITY_TIMEOUT };
+        let now = Instant::now();
+        let late_limit = is_late.then(|| LateLimit::new(now, received.len() as u64));
         Self {
             received: Some(received).filter(|received| !received.is_empty()),
             remaining,
             length,
             forwarded_bytes: 0,
-            is_late,
-            inactivity_timer: Box::pin(sleep(inactivity_timeout)),
+            late_limit,
+            timer: Box::pin(sleep_until(due_at(now, late_limit))),
             on_complete: Some(on_complete),
         }
     }
 
-    /// The time for which the backend may send nothing now. A late response that may turn out to be small is
-    /// not waited for any longer than its client waits.
-    fn inactivity_timeout(&self) -> Duration {
-        let may_be_small = self.forwarded_bytes <= MAX_BUFFERED_BODY_BYTES as u64;
-        if self.is_late && may_be_small { LATE_INACTIVITY_TIMEOUT } else { INACTIVITY_TIMEOUT }
+    /// Records bytes that arrived, and sets the timer for the next ones.
+    fn receive(&mut self, bytes: u64) {
+        self.forwarded_bytes += bytes;
+        if let Some(limit) = &mut self.late_limit {
+            limit.receive(bytes);
+        }
+        self.timer.as_mut().reset(due_at(Instant::now(), self.late_limit));
+    }
+}
+
+/// When a body whose last bytes arrived at `now` has stalled.
+fn due_at(now: Instant, late_limit: Option<LateLimit>) -> Instant {
+    match late_limit.and_then(|limit| limit.end()) {
+        Some(end) => end.min(now + LATE_INACTIVITY_TIMEOUT),
+        None => now + INACTIVITY_TIMEOUT,
     }
 }
 
@@ -81,12 +89,10 @@
             match Pin::new(&mut self.remaining).poll_frame(cx) {
                 Poll::Ready(Some(Ok(frame))) => {
                     let Ok(chunk) = frame.into_data() else { continue };
-                    self.forwarded_bytes += chunk.len() as u64;
+                    self.receive(chunk.len() as u64);
                     if self.forwarded_bytes > MAX_BODY_BYTES {
                         return Poll::Ready(Some(Err(BodyError::TooLarge)));
                     }
-                    let inactive_at = Instant::now() + self.inactivity_timeout();
-                    self.inactivity_timer.as_mut().reset(inactive_at);
                     return Poll::Ready(Some(Ok(Frame::data(compact(chunk)))));
                 }
                 Poll::Ready(Some(Err(error))) => return Poll::Ready(Some(Err(error.into()))),
@@ -97,7 +103,7 @@
                     return Poll::Ready(None);
                 }
                 Poll::Pending => {
-                    ready!(self.inactivity_timer.as_mut().poll(cx));
+                    ready!(self.timer.as_mut().poll(cx));
                     return Poll::Ready(Some(Err(BodyError::Stalled)));
                 }
             }
--- a/crates/http-proxy/src/exchange.rs
+++ b/crates/http-proxy/src/exchange.rs
@@ -1,11 +1,13 @@
 //! One request and its response on a backend connection.
 
-use crate::body::{
-    LATE_INACTIVITY_TIMEOUT, OutboundBody, ReceivedBytes, ResponseBody, StreamedUpload, exact_size,
-    next_chunk,
-};
+mod receive;
+
+pub use receive::{PartialBody, ReceivedBody, ResponseDeadlines};
+
+use self::receive::receive_body;
+use crate::body::{OutboundBody, ResponseBody, StreamedUpload, exact_size};
 use crate::client_connection::ClientPresence;
-use crate::size_limits::{MAX_BODY_BYTES, MAX_BUFFERED_BODY_BYTES};
+use crate::size_limits::MAX_BODY_BYTES;
 use bytes::Bytes;
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::SendRequest;
@@ -17,10 +19,9 @@
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
-use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::{Instant, sleep_until};
+use tokio::time::Instant;
 
 /// The header that gives a backend the remaining time of its request in milliseconds.
 const TIME_LEFT: HeaderName = HeaderName::from_static("x-time-left-ms");
@@ -90,26 +91,6 @@
     pub content_type: Option<HeaderValue>,
 }
 
-/// The body of a response, as far as it was received.
-pub enum ReceivedBody {
-    /// The complete body.
-    Complete(Bytes),
-    /// The beginning of a body that is too large to be buffered.
-    Partial(PartialBody),
-}
-
-/// A response body that was received in part.
-pub struct PartialBody {
-    /// The bytes that have arrived.
-    pub received: Bytes,
-    /// The bytes that are still to arrive.
-    pub remaining: Incoming,
-    /// The length of the complete body in bytes, if the head gives it.
-    pub length: Option<u64>,
-    /// Whether the client's time was over before more than [`MAX_BUFFERED_BODY_BYTES`] had arrived.
-    pub is_late: bool,
-}
-
 /// A response of any status.
 pub struct ReceivedResponse {
     /// The status code as the backend sent it.
@@ -143,19 +124,9 @@
     }
 }
 
-/// When the response to an attempt is due.
-pub struct ResponseDeadlines<F> {
-    /// Completes when the attempt's time is over.
-    pub attempt: F,
-    /// When the client's time is over, if that may be later: a response of unknown length that is arriving
-    /// when the attempt's time is over has until then.
-    pub client: Option<Instant>,
-}
-
 /// Writes a request and reads its response. A small body is read completely, so that a truncated or malformed
-/// response never reaches the client and another attempt can follow. Of a larger body nothing is read yet if
-/// the head gives its length; otherwise its first bytes are read until they exceed
-/// [`MAX_BUFFERED_BODY_BYTES`], or until the client's time is over and the body is still arriving.
+/// response never reaches the client and another attempt can follow. Of a larger body only the beginning is
+/// read.
 ///
 /// # Errors
 /// The connection failed, the response is malformed or too large, or it was not received in time.
@@ -175,57 +146,12 @@
     }
     let (head, body) = response.into_parts();
     let length = exact_size(&body, &head.headers);
-    let body = match length {
-        Some(length) if length > MAX_BUFFERED_BODY_BYTES as u64 => ReceivedBody::Partial(PartialBody {
-            received: Bytes::new(),
-            remaining: body,
-            length: Some(length),
-            is_late: false,
-        }),
-        _ => receive_body(body, length, attempt_deadline, deadlines.client).await?,
-    };
+    // Only the body of a served response is passed on.
+    let client_deadline = deadlines.client.filter(|_| head.status == StatusCode::OK);
+    let body = receive_body(body, length, attempt_deadline, client_deadline).await?;
     Ok(ReceivedResponse { status: head.status, headers: head.headers, body })
 }
 
-async fn receive_body(
-    mut remaining: Incoming,
-    length: Option<u64>,
-    mut attempt_deadline: Pin<&mut impl Future<Output = ()>>,
-    client_deadline: Option<Instant>,
-) -> Result<ReceivedBody, ExchangeError> {
-    let mut received = ReceivedBytes::default();
-    let mut last_received_at = Instant::now();
-    let mut is_attempt_over = false;
-    while received.len() <= MAX_BUFFERED_BODY_BYTES {
-        let inactive_at = last_received_at + LATE_INACTIVITY_TIMEOUT;
-        let wake_at = client_deadline.map_or(inactive_at, |deadline| deadline.min(inactive_at));
-        let chunk = tokio::select! {
-            biased;
-            chunk = next_chunk(&mut remaining) => Some(chunk.map_err(|error| ExchangeError::from(&error))?),
-            () = &mut attempt_deadline, if !is_attempt_over => None,
-            () = sleep_until(wake_at), if is_attempt_over => None,
-        };
-        let Some(chunk) = chunk else {
-            let now = Instant::now();
-            let is_arriving = length.is_none() && !received.is_empty() && now < inactive_at;
-            if !is_arriving {
-                return Err(ExchangeError::TimedOut);
-            }
-            if client_deadline.is_none_or(|deadline| now >= deadline) {
-                let received = received.into_bytes();
-                return Ok(ReceivedBody::Partial(PartialBody { received, remaining, length, is_late: true }));
-            }
-            is_attempt_over = true;
-            continue;
-        };
-        let Some(chunk) = chunk else { return Ok(ReceivedBody::Complete(received.into_bytes())) };
-        received.push(&chunk, MAX_BUFFERED_BODY_BYTES);
-        last_received_at = Instant::now();
-    }
-    let received = received.into_bytes();
-    Ok(ReceivedBody::Partial(PartialBody { received, remaining, length, is_late: false }))
-}
-
 /// Whether the head announces a response that can be forwarded completely. Rejecting others at this point
 /// leaves time for another attempt. A response that is too large would be read in vain. A response that ends
 /// only with its connection, without announcing the close, cannot be distinguished from a truncated one.
--- a/crates/proxy-server/tests/hostile_peers/late_responses.rs
+++ b/crates/proxy-server/tests/hostile_peers/late_responses.rs
@@ -1,8 +1,8 @@
 //! Responses that arrive slowly, and backends that read slowly.
 
 use crate::support::{Client, Discovery};
-use crate::{request_with_time, start_backend, start_proxy, write_ok};
-use std::io::{BufRead, Read, Write};
+use crate::{LEAST_MEMORY_MB, peak_memory, request_with_time, start_backend, start_proxy, write_ok};
+use std::io::{BufRead, Write};
 use std::net::{TcpListener, TcpStream};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -10,6 +10,8 @@
 const TIME_LEFT: Duration = Duration::from_millis(700);
 /// How long after a client's time an answer still counts as given.
 const LATENESS_LIMIT: Duration = Duration::from_millis(500);
+/// How long a client reads a response that does not end.
+const MAX_READ_TIME: Duration = Duration::from_secs(10);
 
 /// Writes a body in parts with a pause after each; the head gives no length.
 fn write_in_parts(stream: &mut TcpStream, is_chunked: bool, parts: usize, part: &[u8], pause: Duration) {
@@ -48,10 +50,18 @@
     }
 }
 
-/// Reads a response to the end of its connection: the head, and the content unless it is cut off.
+/// Reads a response to the end of its connection, for [`MAX_READ_TIME`] at most: the head, and the content unless
+/// it is cut off.
 fn read_chunked_response(client: &mut Client) -> (String, Option<usize>) {
-    let mut bytes = Vec::new();
-    let _ = client.reader.read_to_end(&mut bytes);
+    let (mut bytes, started_at) = (Vec::new(), Instant::now());
+    while started_at.elapsed() < MAX_READ_TIME {
+        match client.reader.fill_buf() {
+            Ok([]) | Err(_) => break,
+            Ok(read) => bytes.extend_from_slice(read),
+        }
+        let count = client.reader.buffer().len();
+        client.reader.consume(count);
+    }
     let head_end = bytes.windows(4).position(|window| window == b"\r\n\r\n").map_or(bytes.len(), |at| at + 4);
     (String::from_utf8_lossy(&bytes[..head_end]).into_owned(), chunked_content(&bytes[head_end..]))
 }
@@ -104,15 +114,16 @@
     }
 }
 
-/// A response that stops after its client's time, and is not over 64 KiB yet, ends within the slack, and its
-/// client can tell that it is not whole.
+/// A response that may be large and stops after its client's time, before it is over 64 KiB, ends within the slack,
+/// and its client can tell that it is not whole.
 #[test]
 fn response_without_length_that_stops_after_the_deadline_is_cut_off_in_time() {
     let discovery = Discovery::start();
     let backend = start_backend(|_, stream| {
         let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+        let part = "z".repeat(12_000);
         for _ in 0..5 {
-            let _ = stream.write_all(b"5\r\nhello\r\n");
+            let _ = stream.write_all(format!("{:x}\r\n{part}\r\n", part.len()).as_bytes());
             thread::sleep(Duration::from_millis(150));
         }
         thread::sleep(Duration::from_secs(5));
@@ -125,6 +136,138 @@
     let (head, content) = read_chunked_response(&mut client);
     let elapsed = started_at.elapsed();
     assert!(elapsed < TIME_LEFT + LATENESS_LIMIT && content.is_none(), "{elapsed:?}: {head}");
+    assert!(head.starts_with("HTTP/1.1 200"), "a response that may be large is passed on: {head}");
+}
+
+/// A response that never ends: the size of its first part, then a few bytes after each pause.
+struct EndlessResponse {
+    framing: &'static str,
+    first_part: usize,
+    pause: Duration,
+}
+
+impl EndlessResponse {
+    /// Writes until the connection is closed.
+    fn write(&self, stream: &mut TcpStream) {
+        let is_chunked = self.framing.contains("chunked");
+        let _ = stream.write_all(format!("HTTP/1.1 200 OK\r\n{}\r\n\r\n", self.framing).as_bytes());
+        for size in [self.first_part].into_iter().chain(std::iter::repeat(64)) {
+            let part = "z".repeat(size);
+            let bytes = if is_chunked { format!("{size:x}\r\n{part}\r\n") } else { part };
+            if stream.write_all(bytes.as_bytes()).is_err() {
+                break;
+            }
+            thread::sleep(self.pause);
+        }
+    }
+}
+
+/// Guards against a request without a final answer: a response that never ends was passed on after its client's
+/// time, and each of its bytes extended the time for the next one.
+#[test]
+fn response_that_never_ends_has_a_final_answer_in_time() {
+    for framing in ["Transfer-Encoding: chunked", "Connection: close", "Content-Length: 60000"] {
+        for (first_part, pause_ms) in [(64, 100), (1, 10), (2_000, 430), (60_000, 100)] {
+            let endless = EndlessResponse { framing, first_part, pause: Duration::from_millis(pause_ms) };
+            let endless = std::sync::Arc::new(endless);
+            if framing.contains("Length") && first_part == 60_000 {
+                continue;
+            }
+            let (closed, closes) = std::sync::mpsc::channel();
+            let discovery = Discovery::start();
+            let backend = start_backend(move |_, stream| {
+                endless.write(stream);
+                let _ = closed.send(Instant::now());
+                false
+            });
+            let proxy = start_proxy("endless", &discovery, &[backend; 3]);
+            let started_at = Instant::now();
+            let clients = ["read", "submit", "charge"].map(|class| {
+                let mut client = Client::connect(proxy.address);
+                let head = request_with_time(class, class, "", TIME_LEFT.as_millis() as u64);
+                client.send(&head.replace("Host:", "Connection: close\r\nHost:"));
+                thread::spawn(move || (class, read_chunked_response(&mut client), started_at.elapsed()))
+            });
+            for client in clients {
+                let (class, (head, content), elapsed) = client.join().expect("the client");
+                let case = format!("{framing}, {first_part} bytes, pauses of {pause_ms} ms, {class}");
+                assert!(elapsed < TIME_LEFT + LATENESS_LIMIT, "{case}: {elapsed:?}: {head}");
+                let is_error = head.starts_with("HTTP/1.1 50");
+                assert!(is_error || (first_part == 60_000 && content.is_none()), "{case}: {head}");
+                let closed_at =
+                    closes.recv_timeout(Duration::from_secs(2)).expect("the connection is closed");
+                let held = closed_at.saturating_duration_since(started_at);
+                assert!(held < TIME_LEFT + LATENESS_LIMIT * 2, "{case}: the backend was held for {held:?}");
+            }
+        }
+    }
+}
+
+/// Guards against a request without a final answer: the head of a large response was passed on, and no byte of
+/// its body came.
+#[test]
+fn large_response_that_stops_after_its_head_fails_in_time() {
+    let discovery = Discovery::start();
+    let backend = start_backend(|_, stream| {
+        let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n");
+        thread::sleep(Duration::from_secs(5));
+        false
+    });
+    let proxy = start_proxy("head-only", &discovery, &[backend; 3]);
+    for class in ["read", "submit", "charge"] {
+        let started_at = Instant::now();
+        let text = request_with_time(class, class, "", TIME_LEFT.as_millis() as u64);
+        let mut client = Client::connect(proxy.address);
+        client.send(&text.replace("Host:", "Connection: close\r\nHost:"));
+        let (head, _) = read_chunked_response(&mut client);
+        let elapsed = started_at.elapsed();
+        assert!(
+            elapsed < TIME_LEFT + LATENESS_LIMIT && head.starts_with("HTTP/1.1 50"),
+            "{class}: {elapsed:?}: {head}"
+        );
+    }
+}
+
+/// Large responses that never end hold a connection each, and no more, until their clients leave.
+#[test]
+fn large_responses_that_never_end_leave_room_for_others() {
+    const COUNT: usize = 40;
+    let (closed, closes) = std::sync::mpsc::channel();
+    let discovery = Discovery::start();
+    let backend = start_backend(move |request, stream| {
+        if request.head.contains("/read") {
+            return write_ok(stream, b"small");
+        }
+        let endless = EndlessResponse {
+            framing: "Transfer-Encoding: chunked",
+            first_part: 70_000,
+            pause: Duration::from_millis(50),
+        };
+        endless.write(stream);
+        let _ = closed.send(());
+        false
+    });
+    let proxy = start_proxy("endless-large", &discovery, &[backend; 4]);
+    let clients: Vec<Client> = (0..COUNT)
+        .map(|id| {
+            let mut client = Client::connect(proxy.address);
+            client.send(&request_with_time("charge", &id.to_string(), "", 2_000));
+            assert!(client.reader.fill_buf().expect("a response").starts_with(b"HTTP/1.1 200"));
+            client
+        })
+        .collect();
+    for id in 0..20 {
+        let started_at = Instant::now();
+        let text = request_with_time("read", &format!("small-{id}"), "", TIME_LEFT.as_millis() as u64);
+        assert_eq!(Client::connect(proxy.address).exchange(&text).body, b"small");
+        assert!(started_at.elapsed() < TIME_LEFT, "{:?}", started_at.elapsed());
+    }
+    let peak = peak_memory(proxy.child.id());
+    assert!(peak < LEAST_MEMORY_MB << 20, "{peak} bytes");
+    drop(clients);
+    for _ in 0..COUNT {
+        closes.recv_timeout(Duration::from_secs(2)).expect("its connection is closed with its client's");
+    }
 }
 
 #[test]
