Keep every earlier version of a class for its own grace period

Cause: ClassRegistry held one previous version of a class. The second change put the version in between in the place of the one that clients still used.

Change: ClassVersions keeps each version until 3 s after it was replaced or removed. A request gets the strictest rules of all versions that it matches.

Red before: the property test over random changes, removals and waits (Cell, 4 s where Cell, 3 s is due), and the test over processes with three configurations (retried in another cell).

Costs honest clients: for 3 s after each change retries keep to the narrowest group and the shortest window of all of them.

--- a/crates/proxy-server/tests/external_processor/reload.rs
+++ b/crates/proxy-server/tests/external_processor/reload.rs
@@ -217,6 +217,8 @@
 const TIME_TO_BREAK: Duration = Duration::from_millis(600);
 /// A time to live of keys that is over when a backend breaks the connection.
 const SHORT_TTL_US: u64 = 400_000;
+/// A time to live of keys that is not over then.
+const LONG_TTL_US: u64 = 5_000_000;
 
 /// Starts a proxy with two cells of two backends, which break the connection of each request that they have
 /// executed.
@@ -246,14 +248,33 @@
     is_ttl_over: bool,
 }
 
-const SUCCESSIONS: [Succession; 1] = [Succession {
-    name: "added-again",
-    changes: &[
-        |settings| drop(classes(settings).remove(SUBMIT)),
-        |settings| set_group_and_ttl(settings, "zone", SHORT_TTL_US),
-    ],
-    is_ttl_over: true,
-}];
+const SUCCESSIONS: [Succession; 3] = [
+    Succession {
+        name: "wider-scope",
+        changes: &[
+            |settings| set_group_and_ttl(settings, "all", LONG_TTL_US),
+            |settings| settings["classes"][SUBMIT]["aimUs"] = json!(9_000_000),
+        ],
+        is_ttl_over: false,
+    },
+    Succession {
+        name: "shorter-ttl",
+        changes: &[
+            |settings| set_group_and_ttl(settings, "all", SHORT_TTL_US),
+            |settings| set_group_and_ttl(settings, "all", LONG_TTL_US),
+            |settings| set_group_and_ttl(settings, "zone", LONG_TTL_US),
+        ],
+        is_ttl_over: true,
+    },
+    Succession {
+        name: "added-again",
+        changes: &[
+            |settings| drop(classes(settings).remove(SUBMIT)),
+            |settings| set_group_and_ttl(settings, "zone", SHORT_TTL_US),
+        ],
+        is_ttl_over: true,
+    },
+];
 
 /// Guards against a duplicate execution: after reloads in quick succession, a keyed request was retried by the
 /// rules of some versions of its class, although its sender might know another one.
--- a/crates/request-engine/src/class_registry.rs
+++ b/crates/request-engine/src/class_registry.rs
@@ -4,8 +4,9 @@
 //! The settings give each version of a class an index of its own. What identifies a request beyond one
 //! version, such as a [claim](crate::idempotency), refers to the class by its name instead.
 //!
-//! Senders of requests apply new settings later than the proxy. For a grace period, a request may therefore be
-//! meant under the previous version of its class, and the stricter rules of both versions apply.
+//! Senders of requests apply new settings later than the proxy. For a grace period after each change, a request
+//! may therefore be meant under an earlier version of its class, and the strictest rules of all versions apply
+//! that the request matches.
 
 mod request_class;
 
@@ -16,8 +17,8 @@
 use std::cell::RefCell;
 use std::rc::Rc;
 
-/// How long the previous version of a removed or changed class still applies, in microseconds. Clients apply
-/// new settings 1.2 s later than the proxies.
+/// How long an earlier version of a removed or changed class still applies, in microseconds. Clients apply new
+/// settings 1.2 s later than the proxies.
 pub const PREVIOUS_CLASS_GRACE_PERIOD: Micros = 3_000_000;
 
 /// The name of a request class, which identifies it across reloads.
@@ -35,16 +36,39 @@
     Mismatch(E),
 }
 
+/// A version of a class that a reload changed or removed.
 #[derive(Debug)]
-struct PreviousClass {
+struct EarlierVersion {
     class: RequestClass,
     served_until: Micros,
 }
 
+/// The versions of one class that may apply to a request.
 #[derive(Debug, Default)]
 struct ClassVersions {
+    /// `None` if the class is removed.
     current: Option<RequestClass>,
-    previous: Option<PreviousClass>,
+    /// In the order in which they were in force.
+    earlier: Vec<EarlierVersion>,
+}
+
+impl ClassVersions {
+    /// Replaces the current version at `now`. The one that was in force until then applies for the grace period.
+    fn replace_current(&mut self, now: Micros, current: Option<RequestClass>) {
+        self.earlier.retain(|version| now < version.served_until);
+        if self.current == current {
+            return;
+        }
+        if let Some(class) = std::mem::replace(&mut self.current, current) {
+            let served_until = now.saturating_add(PREVIOUS_CLASS_GRACE_PERIOD);
+            self.earlier.push(EarlierVersion { class, served_until });
+        }
+    }
+
+    /// Whether no version can apply any more.
+    fn is_empty(&self) -> bool {
+        self.current.is_none() && self.earlier.is_empty()
+    }
 }
 
 /// The request classes by name, and the maximum number of attempts.
@@ -64,33 +88,24 @@
         names: impl Iterator<Item = (usize, &'a str)>,
     ) {
         self.max_attempts = settings.permissions.max_attempts;
-        let served_until = now.saturating_add(PREVIOUS_CLASS_GRACE_PERIOD);
-        let mut old_classes = std::mem::take(&mut self.classes);
-        for (index, name) in names {
-            let (name, old) =
-                old_classes.remove_entry(name).unwrap_or_else(|| (name.into(), ClassVersions::default()));
-            let current =
-                settings.classes.get(index).and_then(|class| RequestClass::new(&name, index, class));
-            let previous = match old.current {
-                Some(class) if Some(&class) != current.as_ref() => {
-                    Some(PreviousClass { class, served_until })
-                }
-                _ => old.previous,
-            };
-            self.classes.insert(name, ClassVersions { current, previous });
-        }
-        for (name, old) in old_classes {
-            let removed = old.current.map(|class| PreviousClass { class, served_until });
-            let previous = removed.or(old.previous);
-            if previous.as_ref().is_some_and(|previous| previous.served_until > now) {
-                self.classes.insert(name, ClassVersions { current: None, previous });
+        let current: FxHashMap<&str, usize> = names.map(|(index, name)| (name, index)).collect();
+        for name in current.keys() {
+            if !self.classes.contains_key(*name) {
+                self.classes.insert((*name).into(), ClassVersions::default());
             }
         }
+        for (name, versions) in &mut self.classes {
+            let index = current.get(&**name).copied();
+            let class = index.and_then(|index| Some((index, settings.classes.get(index)?)));
+            let class = class.and_then(|(index, class)| RequestClass::new(name, index, class));
+            versions.replace_current(now, class);
+        }
+        self.classes.retain(|_, versions| !versions.is_empty());
     }
 
     /// The rules for a request at `now` (microseconds) whose sender names this class. `check` tells whether the
-    /// request matches a version of the class. Within the grace period the sender may know either version; if
-    /// the request matches both, the stricter rules of both apply.
+    /// request matches a version of the class. Within the grace period of a version the sender may know it; the
+    /// strictest rules of all versions that the request matches apply.
     ///
     /// # Errors
     /// The request does not match the class of this name, or there is no such class.
@@ -101,17 +116,14 @@
         check: impl Fn(&RequestClass) -> Result<(), E>,
     ) -> Result<RequestClass, LookupError<E>> {
         let versions = self.classes.get(name).ok_or(LookupError::UnknownClass)?;
-        let previous = versions.previous.as_ref().filter(|previous| now < previous.served_until);
-        let previous = previous.filter(|previous| check(&previous.class).is_ok());
         let current = match &versions.current {
             Some(class) => check(class).map(|()| class).map_err(LookupError::Mismatch),
             None => Err(LookupError::UnknownClass),
         };
-        match (current, previous) {
-            (Ok(current), Some(previous)) => Ok(current.combined_with(&previous.class)),
-            (Err(_), Some(previous)) => Ok(previous.class.clone()),
-            (current, None) => current.cloned(),
-        }
+        let served = versions.earlier.iter().rev().filter(|version| now < version.served_until);
+        let mut earlier = served.map(|version| &version.class).filter(|class| check(class).is_ok());
+        let latest = current.or_else(|error| earlier.next().ok_or(error))?;
+        Ok(earlier.fold(latest.clone(), |rules, version| rules.combined_with(version)))
     }
 
     /// The maximum number of attempts of a request that arrives now.
@@ -120,7 +132,7 @@
         self.max_attempts
     }
 
-    /// Number of names that have a version, current or previous.
+    /// Number of names that have a version, current or earlier.
     #[must_use]
     pub fn len(&self) -> usize {
         self.classes.len()
--- a/crates/request-engine/tests/class_registry.rs
+++ b/crates/request-engine/tests/class_registry.rs
@@ -177,3 +177,75 @@
         assert_eq!(class.idempotency, added, "the grace period of the earlier version is over");
     }
 }
+
+/// A version of the class, and until when it was in force.
+#[derive(Clone, Copy, Debug)]
+struct Version {
+    idempotency: Idempotency,
+    replaced_at: Micros,
+}
+
+/// The narrowest scope and the shortest time to live of these versions, written out for the test.
+fn strictest(versions: impl Iterator<Item = Idempotency>) -> Option<Idempotency> {
+    let versions: Vec<Idempotency> = versions.collect();
+    if versions.contains(&Idempotency::NonIdempotent) {
+        return Some(Idempotency::NonIdempotent);
+    }
+    let parts = versions.iter().filter_map(|version| match version {
+        Idempotency::Keyed { scope, ttl } => Some((*scope, *ttl)),
+        _ => None,
+    });
+    let (scopes, ttls): (Vec<_>, Vec<_>) = parts.unzip();
+    let by_width = [DedupScope::Cell, DedupScope::Zone, DedupScope::All];
+    let narrowest = by_width.into_iter().find(|scope| scopes.contains(scope))?;
+    Some(keyed(narrowest, *ttls.iter().min()?))
+}
+
+fn any_step() -> impl Strategy<Value = Option<Step>> {
+    let scope = prop_oneof![Just(DedupScope::Cell), Just(DedupScope::Zone), Just(DedupScope::All)];
+    let idempotency = prop_oneof![
+        5 => (scope, 1..6_u64).prop_map(|(scope, seconds)| keyed(scope, seconds * SECOND)),
+        1 => Just(Idempotency::NonIdempotent),
+    ];
+    prop_oneof![
+        4 => (idempotency, 400..500_u64)
+            .prop_map(|(idempotency, ms)| Some(Step::Reload { idempotency, objective: ms * MS })),
+        3 => (0..PREVIOUS_CLASS_GRACE_PERIOD).prop_map(|time| Some(Step::Wait(time))),
+        // Removes the class.
+        2 => Just(None),
+    ]
+}
+
+proptest! {
+    /// Guards against a duplicate execution: after several reloads within the grace period, a request was retried
+    /// by the rules of the last two versions, although its sender might know an earlier one.
+    #[test]
+    fn rules_are_the_strictest_of_all_versions_within_the_grace_period(
+        steps in prop::collection::vec(any_step(), 1..16),
+    ) {
+        let first = keyed(DedupScope::Cell, 3 * SECOND);
+        let mut classes = Classes::new(first);
+        let mut now = 0;
+        let mut current = Some(first);
+        let mut replaced = Vec::<Version>::new();
+        for step in steps {
+            match step {
+                Some(Step::Wait(time)) => now += time,
+                Some(Step::Reload { idempotency, objective }) => {
+                    classes.reload(now, idempotency, objective);
+                    let old = current.replace(idempotency);
+                    replaced.extend(old.map(|idempotency| Version { idempotency, replaced_at: now }));
+                }
+                None => {
+                    classes.remove(now);
+                    let old = current.take();
+                    replaced.extend(old.map(|idempotency| Version { idempotency, replaced_at: now }));
+                }
+            }
+            let served = replaced.iter().filter(|version| now < version.replaced_at + PREVIOUS_CLASS_GRACE_PERIOD);
+            let expected = strictest(served.map(|version| version.idempotency).chain(current));
+            let found = classes.registry.find(now, NAME, |_| Ok::<(), ()>(())).ok();
+            prop_assert_eq!(found.map(|class| class.idempotency), expected);
+        }
+    }
+}
