--- a/crates/balancer/src/api/event.rs
+++ b/crates/balancer/src/api/event.rs
@@ -35,6 +35,9 @@
     pub id: u64,
     /// Hash of its idempotency key and the name of its class; `None` if the class is not keyed.
     pub key: Option<u64>,
+    /// How long backends may remember its key, by the version of its class with the longest time; 0 without a
+    /// key.
+    pub key_ttl: Micros,
 }
 
 /// The end of one attempt. Each [`Action::Send`](super::Action::Send) gets exactly one.
--- a/crates/balancer/src/balancer/admission.rs
+++ b/crates/balancer/src/balancer/admission.rs
@@ -21,17 +21,19 @@
             return;
         }
         let class = usize::from(request.class).min(self.settings.classes.len() - 1);
+        let rules = request.idempotency.unwrap_or(self.settings.classes[class].idempotency);
+        let earlier_execution = request.identity.and_then(|identity| self.executions.find(now, identity));
         let open = OpenRequest {
             id: request.id,
             class,
-            idempotency: request.idempotency.unwrap_or(self.settings.classes[class].idempotency),
+            idempotency: earlier_execution.map_or(rules, |earlier| rules.combined_with(earlier.idempotency)),
             arrived_at: now,
             deadline: now + request.timeout,
             max_attempts: usize::from(self.settings.permissions.max_attempts),
             is_over_quota: self.charge_quota(now, usize::from(request.tenant)),
             is_proxied: request.is_proxied,
             identity: request.identity,
-            earlier_execution: request.identity.and_then(|identity| self.executions.find(now, identity)),
+            earlier_execution,
             is_answered: false,
             is_streaming: false,
             queued_until: None,
--- a/crates/balancer/src/balancer/attempts.rs
+++ b/crates/balancer/src/balancer/attempts.rs
@@ -2,7 +2,7 @@
 
 use super::Balancer;
 use super::retries::start_by;
-use crate::api::{Action, AttemptResult, Idempotency, Micros, RequestId};
+use crate::api::{Action, AttemptResult, Micros, RequestId};
 use crate::state::{Attempt, AttemptState};
 
 /// Numerator of the fraction of a backend's slots that must be in flight for its limit to count as used.
@@ -50,11 +50,7 @@
         let request = &self.requests.open[request_index];
         let (Some(identity), None) = (request.identity, request.earlier_execution) else { return };
         let Some(execution) = request.first_effective_attempt() else { return };
-        let key_ttl = match request.idempotency {
-            Idempotency::Keyed { ttl, .. } => ttl,
-            Idempotency::Idempotent | Idempotency::NonIdempotent => 0,
-        };
-        self.executions.record(now, identity, request.id, execution, key_ttl);
+        self.executions.record(now, identity, request.id, execution);
     }
 
     /// Updates what is remembered of a request after one of its attempts has finished.
--- a/crates/balancer/src/state/executions.rs
+++ b/crates/balancer/src/state/executions.rs
@@ -1,13 +1,14 @@
 //! The executions of requests that must not take effect twice, by what identifies a request: a client that
 //! left may come again with its id or its idempotency key.
 
-use crate::api::{Micros, RequestId, RequestIdentity};
+use crate::api::{Idempotency, Micros, RequestId, RequestIdentity};
 use crate::state::SECOND;
 use rustc_hash::FxHashMap;
 use std::collections::VecDeque;
 
-/// How long an id is remembered. Ids are new with every request, so this only bounds the memory.
-const ID_RETENTION: Micros = 30 * SECOND;
+/// How long an id or a key is remembered at least. Ids are new with every request, so this only bounds the memory;
+/// a key may come again under a version of its class that has a longer time to live.
+const MIN_RETENTION: Micros = 30 * SECOND;
 /// Maximum number of remembered ids, and of remembered keys. At the maximum, the oldest are forgotten.
 const MAX_REMEMBERED: usize = 8_192;
 
@@ -19,6 +20,8 @@
     /// Cell of its backend at the time of the send.
     pub(crate) cell: u16,
     pub(crate) sent_at: Micros,
+    /// The rules of its request.
+    pub(crate) idempotency: Idempotency,
     /// Whether the attempt was unfinished when this was last recorded.
     pub(crate) is_unfinished: bool,
 }
@@ -28,9 +31,17 @@
 struct Remembered {
     request: RequestId,
     execution: Execution,
+    key_ttl: Micros,
     expires_at: Micros,
 }
 
+impl Remembered {
+    /// Whether a backend may still remember the key, by the time to live of either of two versions of its class.
+    fn is_key_valid(&self, now: Micros, key_ttl: Micros) -> bool {
+        now < self.execution.sent_at.saturating_add(self.key_ttl.max(key_ttl))
+    }
+}
+
 /// Executions by the hash of one kind of name.
 #[derive(Default)]
 struct ExecutionTable {
@@ -88,29 +99,30 @@
         let by_id = self.ids.find(now, identity.id).map(|remembered| remembered.execution);
         let by_key = || {
             let remembered = self.keys.find(now, identity.key?)?;
-            Some(Execution { is_unfinished: false, ..remembered.execution })
+            let is_valid = remembered.is_key_valid(now, identity.key_ttl);
+            is_valid.then_some(Execution { is_unfinished: false, ..remembered.execution })
         };
         by_id.or_else(by_key)
     }
 
-    /// Records an attempt that starts now and may execute. `key_ttl` is the time for which backends remember
-    /// the key.
+    /// Records an attempt that starts now and may execute.
     pub(crate) fn record(
         &mut self,
         now: Micros,
         identity: RequestIdentity,
         request: RequestId,
         execution: Execution,
-        key_ttl: Micros,
     ) {
-        let remembered = |retention: Micros| Remembered {
+        let retention = MIN_RETENTION.max(identity.key_ttl);
+        let remembered = Remembered {
             request,
             execution,
+            key_ttl: identity.key_ttl,
             expires_at: execution.sent_at.saturating_add(retention),
         };
-        self.ids.record(now, identity.id, remembered(ID_RETENTION.max(key_ttl)));
+        self.ids.record(now, identity.id, remembered);
         if let Some(key) = identity.key {
-            self.keys.record(now, key, remembered(key_ttl));
+            self.keys.record(now, key, remembered);
         }
     }
 
--- a/crates/balancer/src/state/request.rs
+++ b/crates/balancer/src/state/request.rs
@@ -38,9 +38,10 @@
         self.state != AttemptState::NeverExecuted
     }
 
-    pub(crate) fn execution(&self) -> Execution {
+    /// Its execution under the rules of its request.
+    pub(crate) fn execution(&self, idempotency: Idempotency) -> Execution {
         let Self { zone, cell, sent_at, .. } = *self;
-        Execution { zone, cell, sent_at, is_unfinished: self.is_unfinished() }
+        Execution { zone, cell, sent_at, idempotency, is_unfinished: self.is_unfinished() }
     }
 
     pub(crate) fn is_unfinished(&self) -> bool {
@@ -52,6 +53,7 @@
 pub(crate) struct OpenRequest {
     pub(crate) id: RequestId,
     pub(crate) class: usize,
+    /// The stricter rules of its class and of an earlier execution for its id or key.
     pub(crate) idempotency: Idempotency,
     pub(crate) arrived_at: Micros,
     pub(crate) deadline: Micros,
@@ -89,7 +91,8 @@
 
     /// The first of its own attempts that may have executed.
     pub(crate) fn first_effective_attempt(&self) -> Option<Execution> {
-        self.attempts.iter().find(|attempt| attempt.may_have_executed()).map(Attempt::execution)
+        let first = self.attempts.iter().find(|attempt| attempt.may_have_executed())?;
+        Some(first.execution(self.idempotency))
     }
 }
 
--- a/crates/http-proxy/src/clients/read_request.rs
+++ b/crates/http-proxy/src/clients/read_request.rs
@@ -160,8 +160,7 @@
         return None;
     }
     let key = forwarded.headers.get(IDEMPOTENCY_KEY).map(HeaderValue::as_bytes);
-    let key = key.filter(|_| class.claim_policy.is_keyed);
-    Some(request_identity(correlation_id.as_bytes(), &class.name, key))
+    Some(request_identity(correlation_id.as_bytes(), class, key))
 }
 
 /// The value of a header, if it consists of visible ASCII.
--- a/crates/http-proxy/src/shared_claims.rs
+++ b/crates/http-proxy/src/shared_claims.rs
@@ -97,11 +97,9 @@
 /// The claim of a request; `None` if all backends drop a second execution.
 #[must_use]
 pub fn claim_of(identity: Option<RequestIdentity>, class: &RequestClass) -> Option<Claim> {
-    let RequestIdentity { id, key } = identity?;
-    let key_ttl = match class.idempotency {
-        Idempotency::Idempotent | Idempotency::Keyed { scope: DedupScope::All, .. } => return None,
-        Idempotency::Keyed { ttl, .. } => ttl,
-        Idempotency::NonIdempotent => 0,
-    };
-    Some(Claim { id, key, key_ttl })
+    let RequestIdentity { id, key, key_ttl } = identity?;
+    match class.idempotency {
+        Idempotency::Idempotent | Idempotency::Keyed { scope: DedupScope::All, .. } => None,
+        Idempotency::Keyed { .. } | Idempotency::NonIdempotent => Some(Claim { id, key, key_ttl }),
+    }
 }
--- a/crates/request-engine/src/class_registry/request_class.rs
+++ b/crates/request-engine/src/class_registry/request_class.rs
@@ -9,6 +9,8 @@
 pub struct ClaimPolicy {
     /// Whether requests with the same idempotency key are retries of one another.
     pub is_keyed: bool,
+    /// How long backends may remember an idempotency key, in microseconds; 0 if the class is not keyed.
+    pub key_ttl: Micros,
     /// How long the final outcome is retained at least, in microseconds.
     pub retention: Micros,
 }
@@ -16,15 +18,21 @@
 impl ClaimPolicy {
     fn of(class: &Class) -> Self {
         match class.idempotency {
-            Idempotency::Idempotent => Self { is_keyed: false, retention: 0 },
-            Idempotency::Keyed { ttl, .. } => Self { is_keyed: true, retention: ttl.max(class.deadline) },
-            Idempotency::NonIdempotent => Self { is_keyed: false, retention: class.deadline },
+            Idempotency::Idempotent => Self { is_keyed: false, key_ttl: 0, retention: 0 },
+            Idempotency::Keyed { ttl, .. } => {
+                Self { is_keyed: true, key_ttl: ttl, retention: ttl.max(class.deadline) }
+            }
+            Idempotency::NonIdempotent => Self { is_keyed: false, key_ttl: 0, retention: class.deadline },
         }
     }
 
     /// The policy for a request to which either of two versions of its class may apply.
     fn combined_with(self, other: Self) -> Self {
-        Self { is_keyed: self.is_keyed || other.is_keyed, retention: self.retention.max(other.retention) }
+        Self {
+            is_keyed: self.is_keyed || other.is_keyed,
+            key_ttl: self.key_ttl.max(other.key_ttl),
+            retention: self.retention.max(other.retention),
+        }
     }
 }
 
