Complete responses that are under way at a planned restart, and reset what is cut off

Cause: Drain::close_connections had one bound for all connections, the time when requests are due. Nothing told a response that goes on from an idle connection.

Change: when all requests are due, a last phase begins. The listener is closed, idle connections are closed, uploads that have not arrived get 503, and responses go on. client_connection::final_response bounds the exit: 32 kB/s beside one pause of 2 s, by what is passed on or by what the client acknowledges, and 500 s in all; what is cut off is reset.

Costs: a process with long responses ends later, 500 s at most; it accepts nothing meanwhile, and keeps its part of the limits on connections beside a new process until then.

--- a/crates/http-proxy/src/body/tracked_response.rs
+++ b/crates/http-proxy/src/body/tracked_response.rs
@@ -6,7 +6,7 @@
 use hyper::body::{Body, SizeHint};
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::Context;
+use std::task::{Context, Poll};
 use tokio::time::Instant;
 
 /// The body of the response to the open request of a client connection. Dropping it ends that request.
@@ -34,7 +34,11 @@
     type Error = BodyError;
 
     fn poll_frame(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> FramePoll {
-        Pin::new(&mut self.body).poll_frame(cx)
+        let polled = Pin::new(&mut self.body).poll_frame(cx);
+        if let Poll::Ready(Some(Ok(frame))) = &polled {
+            self.connection.record_forwarded(frame.data_ref().map_or(0, Bytes::len));
+        }
+        polled
     }
 
     fn is_end_stream(&self) -> bool {
--- a/crates/http-proxy/src/client_connection.rs
+++ b/crates/http-proxy/src/client_connection.rs
@@ -2,22 +2,25 @@
 //! when. Timeouts and eviction are derived from times that are passed in.
 
 mod arrival_log;
+mod final_response;
 mod framing;
 mod presence;
 mod read_ahead_buffer;
 pub mod socket_state;
 mod stream;
 
+pub use final_response::MAX_FINAL_RESPONSE_TIME;
 pub use presence::ClientPresence;
 pub use stream::ClientStream;
 
 use self::arrival_log::ArrivalLog;
+use self::final_response::{FinalResponseLimit, SentBytes};
 use self::framing::Framing;
 use self::read_ahead_buffer::ReadAheadBuffer;
 use self::socket_state::{is_input_empty, is_read_closed};
 use crate::size_limits::MAX_REQUEST_HEAD_BYTES;
 use crate::stall_detector::StallDetector;
-use socket_io::received_data;
+use socket_io::{acknowledged_bytes, received_data};
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::io;
@@ -108,6 +111,10 @@
     activity_since: Cell<Instant>,
     /// The time since which bytes are ready to be sent that the client does not read.
     write_stalled_since: Cell<Option<Instant>>,
+    /// The bytes of streamed responses that were passed on.
+    forwarded_bytes: Cell<u64>,
+    /// Set once the process would end without its response.
+    final_response: Cell<Option<FinalResponseLimit>>,
     framing: RefCell<Framing>,
     last_byte_at: Cell<Instant>,
     arrivals: RefCell<ArrivalLog>,
@@ -132,6 +139,8 @@
             activity: Cell::new(Activity::Idle),
             activity_since: Cell::new(now),
             write_stalled_since: Cell::new(None),
+            forwarded_bytes: Cell::new(0),
+            final_response: Cell::new(None),
             framing: RefCell::default(),
             last_byte_at: Cell::new(now),
             arrivals: RefCell::default(),
@@ -383,6 +392,28 @@
         }
     }
 
+    /// Records that a part of a streamed response was passed on.
+    pub fn record_forwarded(&self, bytes: usize) {
+        self.forwarded_bytes.set(self.forwarded_bytes.get() + bytes as u64);
+    }
+
+    /// Whether a request is open, or a response is not written completely.
+    #[must_use]
+    pub fn is_responding(&self) -> bool {
+        self.activity() == Activity::Serving || self.write_stalled_since.get().is_some()
+    }
+
+    /// Whether the response that is under way at the end of the process is too slow at `now` to be waited for.
+    /// The first call starts its time limit.
+    #[must_use]
+    pub fn has_final_response_timed_out(&self, now: Instant, stream: &TcpStream) -> bool {
+        let acknowledged = acknowledged_bytes(stream).unwrap_or_default();
+        let sent = SentBytes { forwarded: self.forwarded_bytes.get(), acknowledged };
+        let limit = self.final_response.get().unwrap_or_else(|| FinalResponseLimit::new(now, sent));
+        self.final_response.set(Some(limit));
+        limit.is_exceeded(now, sent)
+    }
+
     /// Records that its last response was written.
     pub fn start_closing(&self, now: Instant) {
         self.set_activity(Activity::Closing, now);
--- a/crates/http-proxy/src/clients.rs
+++ b/crates/http-proxy/src/clients.rs
@@ -45,6 +45,8 @@
     Draining,
     /// Idle connections close as well, without a request.
     Closing,
+    /// All requests are due: only responses that are under way go on.
+    Finishing,
 }
 
 /// The parameters of [`ClientConnections`].
@@ -132,6 +134,13 @@
         self.open_connections.get()
     }
 
+    /// The number of connections with an open request, or with a response that is not written completely.
+    #[must_use]
+    pub fn responding_connections(&self) -> usize {
+        let connections = self.connections.borrow();
+        connections.iter().filter(|(_, connection)| connection.is_responding()).count()
+    }
+
     /// How often requests were refused and connections closed since the start, by reason.
     #[must_use]
     pub fn event_counts(&self) -> EventCounts {
@@ -158,4 +167,13 @@
     fn phase(&self) -> ShutdownPhase {
         *self.phase.borrow()
     }
+
+    /// Waits until all requests are due because of the shutdown.
+    async fn all_requests_due(&self) {
+        let mut phase = self.phase.clone();
+        if phase.wait_for(|phase| *phase == ShutdownPhase::Finishing).await.is_err() {
+            // The sender is dropped with the process.
+            std::future::pending::<()>().await;
+        }
+    }
 }
--- a/crates/http-proxy/src/clients/accept.rs
+++ b/crates/http-proxy/src/clients/accept.rs
@@ -1,10 +1,11 @@
 //! Accepts client connections, and evicts some if connections or descriptors run out.
 
-use super::ClientConnections;
+use super::{ClientConnections, ShutdownPhase};
 use crate::client_connection::{Activity, EvictionClass};
 use socket_io::retry;
 use socket2::SockRef;
 use std::io;
+use std::net::Shutdown;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
@@ -27,7 +28,7 @@
 }
 
 impl ClientConnections {
-    /// Accepts connections until the process ends, once the claims of other processes of this proxy are known.
+    /// Accepts connections until the listener is closed, once the claims of other processes of this proxy are known.
     pub async fn accept(self: Rc<Self>, listener: Rc<TcpListener>) {
         if let Some(claims) = &self.shared_claims {
             claims.wait_for_peers().await;
@@ -42,6 +43,8 @@
             }
             match listener.accept().await {
                 Ok((stream, _)) => self.spawn_connection(stream),
+                // The listener is closed.
+                Err(_) if self.phase() == ShutdownPhase::Finishing => return,
                 // Descriptors are exhausted, or the client has already disconnected.
                 Err(error) => {
                     self.accept_failures.record(&error);
@@ -83,6 +86,14 @@
         drain
     }
 
+    /// Refuses new connections from now on. A listener that can't be closed goes on accepting; its connections are
+    /// closed at once.
+    pub fn stop_listening(&self, listener: &TcpListener) {
+        if let Err(error) = SockRef::from(listener).shutdown(Shutdown::Read) {
+            self.accept_failures.record(&error);
+        }
+    }
+
     /// Asks the connection that is most suitable for eviction to close, if its class is `max_class` or
     /// precedes it. While others are closing, which takes a moment, none that may send a request is evicted.
     fn evict_one(&self, max_class: EvictionClass) {
--- a/crates/http-proxy/src/clients/local_responses.rs
+++ b/crates/http-proxy/src/clients/local_responses.rs
@@ -18,6 +18,9 @@
     pub(super) const BODY_TOO_LARGE: Self =
         Self::new(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large\n");
 
+    /// The request did not arrive in time, so that nothing of it was executed.
+    pub(super) const SHUTTING_DOWN: Self = Self::new(StatusCode::SERVICE_UNAVAILABLE, "shutting down\n");
+
     pub(super) const MALFORMED_BODY: Self = Self::bad_request("the body is broken\n");
 
     pub(super) const fn new(status: StatusCode, reason: &'static str) -> Self {
--- a/crates/http-proxy/src/clients/read_body.rs
+++ b/crates/http-proxy/src/clients/read_body.rs
@@ -28,7 +28,11 @@
         let started_at = Instant::now();
         let (mut received, mut reservation) = (ReceivedBytes::default(), None::<MemoryReservation>);
         loop {
-            let chunk = next_chunk_in_time(&mut body, started_at, received.len()).await?;
+            let chunk = tokio::select! {
+                biased;
+                chunk = next_chunk_in_time(&mut body, started_at, received.len()) => chunk?,
+                () = self.all_requests_due() => return Err(RejectedRequest::SHUTTING_DOWN),
+            };
             if connection.is_body_malformed() {
                 return Err(RejectedRequest::MALFORMED_BODY);
             }
--- a/crates/http-proxy/src/clients/serve.rs
+++ b/crates/http-proxy/src/clients/serve.rs
@@ -86,7 +86,8 @@
         };
         let mut phase = self.phase.clone();
         loop {
-            let is_closing = *phase.borrow_and_update() == ShutdownPhase::Closing;
+            let current_phase = *phase.borrow_and_update();
+            let is_closing = matches!(current_phase, ShutdownPhase::Closing | ShutdownPhase::Finishing);
             let check_interval = if is_closing { CLOSING_CHECK_INTERVAL } else { CHECK_INTERVAL };
             tokio::select! {
                 biased;
@@ -111,7 +112,7 @@
                     }
                 }
                 () = sleep(check_interval) => {
-                    if let Some(mode) = due_close(connection, &stream.borrow(), is_closing) {
+                    if let Some(mode) = due_close(connection, &stream.borrow(), current_phase) {
                         self.record_close(connection);
                         return mode;
                     }
@@ -164,11 +165,15 @@
     }
 
     /// During shutdown and close to the connection limit, each response closes its connection. The exception
-    /// is a connection with a pipelined request, which would be left without a response.
+    /// is a connection with a pipelined request, which would be left without a response, as long as requests may
+    /// arrive.
     fn closes_after_response(&self, connection: &ClientConnection, stream: &SharedStream) -> bool {
         let is_near_limit = self.open_connections.get() * 8 >= self.max_connections.get() * 7;
-        let closes = self.phase() != ShutdownPhase::Running || is_near_limit;
-        closes && !connection.has_pipelined_bytes(&stream.borrow())
+        match self.phase() {
+            ShutdownPhase::Finishing => true,
+            ShutdownPhase::Running if !is_near_limit => false,
+            _ => !connection.has_pipelined_bytes(&stream.borrow()),
+        }
     }
 
     async fn process(
@@ -201,11 +206,16 @@
 }
 
 /// How a connection has to close now because of its timeouts or the shutdown; `None` if it stays open.
-fn due_close(connection: &ClientConnection, stream: &TcpStream, is_closing: bool) -> Option<CloseMode> {
+fn due_close(connection: &ClientConnection, stream: &TcpStream, phase: ShutdownPhase) -> Option<CloseMode> {
     let now = Instant::now();
     connection.record_arrivals(stream);
     connection.check_closed_behind_unread(stream);
-    let has_timed_out = connection.has_timed_out(now);
+    let is_finishing = phase == ShutdownPhase::Finishing;
+    if is_finishing && connection.is_responding() {
+        return connection.has_final_response_timed_out(now, stream).then_some(CloseMode::Reset);
+    }
+    let has_timed_out = is_finishing || connection.has_timed_out(now);
+    let is_closing = phase == ShutdownPhase::Closing;
     match connection.activity() {
         Activity::Serving if has_timed_out => Some(CloseMode::Linger),
         // Unread bytes may be a request, which the close would lose.
--- a/crates/proxy-server/src/server/drain.rs
+++ b/crates/proxy-server/src/server/drain.rs
@@ -1,14 +1,16 @@
 //! Draining: after the stop signal, requests in flight and those on connections that still arrive are
-//! completed within a bounded time.
+//! completed within a bounded time. Responses that are under way then, and go on, are completed as well.
 
 use balancer::api::Micros;
+use http_proxy::client_connection::MAX_FINAL_RESPONSE_TIME;
 use http_proxy::clients::{AcceptQueueResult, ClientConnections, ShutdownPhase};
+use http_proxy::log::log;
 use http_proxy::transport::EngineHandle;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
-use tokio::time::{Instant, sleep, timeout_at};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 /// The minimum time for which the proxy accepts connections after the stop signal, since some still arrive.
 const MIN_DRAIN: Duration = Duration::from_millis(800);
@@ -26,8 +28,8 @@
 const MAX_DRAIN_DEADLINE: Duration = Duration::from_secs(3);
 /// How long after the longest deadline the last response is due.
 const RESPONSE_SLACK: Duration = Duration::from_millis(450);
-/// How long after the longest deadline the process ends even if clients are still connected. The difference
-/// to [`RESPONSE_SLACK`] is the time for writing the responses.
+/// How long after the longest deadline the process ends even if clients are still connected, unless responses
+/// are under way. The difference to [`RESPONSE_SLACK`] is the time for writing the responses.
 pub(super) const DRAIN_SLACK: Duration = Duration::from_millis(550);
 
 /// Drains the HTTP front end.
@@ -55,6 +57,30 @@
         self.wait_for_arrivals(longest_deadline).await;
         let _ = self.phase.send(ShutdownPhase::Closing);
         self.close_connections(self.stop_requested_at + longest_deadline + DRAIN_SLACK).await;
+        if self.clients.responding_connections() > 0 {
+            self.finish_responses().await;
+        }
+    }
+
+    /// Refuses new connections, and waits until each response that is under way is complete, or is cut off for its
+    /// slowness.
+    async fn finish_responses(&self) {
+        log(format_args!("draining: {} responses are under way", self.clients.responding_connections()));
+        let _ = self.phase.send(ShutdownPhase::Finishing);
+        self.clients.stop_listening(self.listener);
+        let all_complete = async {
+            while self.clients.responding_connections() > 0 {
+                let _ = timeout(DRAIN_POLL_INTERVAL, self.clients.connection_closed()).await;
+            }
+        };
+        let _ = timeout(MAX_FINAL_RESPONSE_TIME + DRAIN_SLACK, all_complete).await;
+        // The last ones are closing.
+        let all_closed = async {
+            while self.clients.open_connections() > 0 {
+                self.clients.connection_closed().await;
+            }
+        };
+        let _ = timeout(DRAIN_SLACK, all_closed).await;
     }
 
     async fn wait_for_arrivals(&self, longest_deadline: Duration) {
--- a/crates/proxy-server/tests/operations/replacement.rs
+++ b/crates/proxy-server/tests/operations/replacement.rs
@@ -2,8 +2,11 @@
 
 use crate::support::*;
 use crate::{list_entries, serving_backends, start_backends, wait_for_response};
+use std::io::{BufRead, Write};
+use std::net::TcpListener;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::time::Duration;
 use std::{fs, thread};
 
 #[test]
@@ -212,3 +215,54 @@
     drop((idle, partial));
     assert!(proxy.wait_for_exit().success());
 }
+
+/// Guards against a replacement that cuts off a response which its backend still gives: the old process ends after
+/// it, and the new one serves everybody else meanwhile.
+#[test]
+fn long_response_is_completed_by_the_old_process() {
+    const PART: usize = 40_000;
+    const PARTS: usize = 60;
+    let discovery = Discovery::start();
+    let (listener, folder) = (
+        TcpListener::bind("127.0.0.1:0").expect("bind to a free port"),
+        create_empty_folder("long-response"),
+    );
+    let address = listener.local_addr().expect("local address");
+    let slow = thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a connection");
+        let mut reader = std::io::BufReader::new(stream.try_clone().expect("clone the stream"));
+        read_message(&mut reader).expect("a request");
+        let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", PART * PARTS);
+        stream.write_all(head.as_bytes()).expect("write the head");
+        for _ in 0..PARTS {
+            stream.write_all(&vec![b'z'; PART]).expect("the proxy reads on");
+            thread::sleep(Duration::from_millis(80));
+        }
+    });
+    let mut config = config_with_deadline("n7", &discovery, 500);
+    config["console"] = serde_json::json!("127.0.0.1:0");
+    let (mut old, console) = Proxy::start_with_console(&folder, "old", &config);
+    discovery.publish_and_wait(true, &[backend_entry("s-slow", address, "active", 0)]);
+    wait_for_response(console, "readyz\n", "SUCCESS");
+    let mut client = old.client();
+    client.send(&request("charge", "long", "x").replace("15000", "500"));
+    assert!(client.reader.fill_buf().expect("a response").starts_with(b"HTTP/1.1 200"));
+    let quick = Backend::start(|_| ok_response("quick"));
+    discovery.publish_and_wait(true, &[backend_entry("s-quick", quick.address, "active", 0)]);
+    config["listen"] = serde_json::json!(old.address.to_string());
+    let (new, new_console) = Proxy::start_with_console(&folder, "new", &config);
+    wait_for_response(new_console, "readyz\n", "SUCCESS");
+    old.terminate();
+    let reading = thread::spawn(move || client.receive());
+    let mut served = 0;
+    while !reading.is_finished() {
+        let response = new.client().exchange(&request("read", &format!("quick-{served}"), ""));
+        assert_eq!(response.body, b"quick", "{}", response.head);
+        served += 1;
+        thread::sleep(Duration::from_millis(20));
+    }
+    assert_eq!(reading.join().expect("the reader").body.len(), PART * PARTS);
+    assert!(old.wait_for_exit().success());
+    slow.join().expect("the backend wrote everything");
+    assert_eq!(new.client().exchange(&request("read", "last", "")).body, b"quick");
+}
--- a/crates/proxy-server/tests/proxy/main.rs
+++ b/crates/proxy-server/tests/proxy/main.rs
@@ -10,6 +10,7 @@
 mod oversized_lists;
 mod requests;
 mod responses;
+mod responses_at_shutdown;
 mod retries_after_disconnect;
 mod shutdown;
 mod startup;
--- a/crates/socket-io/src/lib.rs
+++ b/crates/socket-io/src/lib.rs
@@ -5,5 +5,5 @@
 pub mod retry;
 mod stream;
 
-pub use arrival::{ReceivedData, received_data};
+pub use arrival::{ReceivedData, acknowledged_bytes, received_data};
 pub use stream::{Stream, poll_read, poll_write, poll_write_vectored};
