Pass the versions of classes that clients may know on to a new process

What callers would see: a process is replaced within 3 s of a reload; requests that clients send under the version before it are retried by the new version's wider group and run twice.

Cause: which versions clients may know stood in the memory of one process, and the configuration file holds the last one alone.

Change: after each reload a process with a console writes the versions that may apply into haventrack-NAME.classes.json, by rename; a process that starts reads them, each for the rest of its own 3 s. A file that can't be used is logged and ignored.

Costs: a reload waits up to 0.5 s for the disk before the next one is read; stricter rules at the new process for up to 3 s.

--- a/crates/proxy-server/src/config_reload.rs
+++ b/crates/proxy-server/src/config_reload.rs
@@ -1,6 +1,7 @@
 //! Reloading of the configuration at SIGHUP: either the complete new configuration is applied or nothing
 //! changes.
 
+use crate::class_versions::SharedClassVersions;
 use admin::fingerprint::fingerprint;
 use balancer::api::{Micros, Settings};
 use http_proxy::config::{Config, ConfigError};
@@ -42,10 +43,13 @@
     handle: EngineHandle,
     /// The longest deadline of the request classes in force, in microseconds.
     longest_deadline: Rc<Cell<Micros>>,
+    /// `None` if this process can't be replaced while it serves.
+    shared_versions: Option<SharedClassVersions>,
 }
 
 impl ConfigReload {
-    /// Starts from the configuration in force. `configuration_fingerprint` is set now and at each reload.
+    /// Starts from the configuration in force, and from the versions of classes that an earlier process shares.
+    /// `configuration_fingerprint` is set now and at each reload.
     ///
     /// # Errors
     /// If no indices can be assigned to the request classes.
@@ -53,12 +57,17 @@
         config: &Config,
         handle: EngineHandle,
         configuration_fingerprint: Rc<Cell<u64>>,
+        shared_versions: Option<SharedClassVersions>,
     ) -> Result<Self, ReloadError> {
         let class_indices = ClassIndices::new(&config.names.classes)?;
         configuration_fingerprint.set(learning_fingerprint(&class_indices, &config.names));
         let longest_deadline = Rc::new(Cell::new(longest_deadline(&class_indices, &config.settings)));
         let mut classes = ClassRegistry::default();
-        classes.update(handle.clock().now(), &config.settings, class_indices.named());
+        let now = handle.clock().now();
+        classes.update(now, &config.settings, class_indices.named());
+        if let Some(shared) = &shared_versions {
+            classes.add_earlier(now, &shared.read());
+        }
         Ok(Self {
             initial_document: config.document_without_list.clone(),
             document: config.document_without_list.clone(),
@@ -69,6 +78,7 @@
             fingerprint: configuration_fingerprint,
             handle,
             longest_deadline,
+            shared_versions,
         })
     }
 
@@ -95,6 +105,7 @@
             match self.reload_with_retry().await {
                 Ok(address) => {
                     discovery.send_if_modified(|current| std::mem::replace(current, address) != address);
+                    self.share_versions().await;
                 }
                 Err(error) => {
                     log(format_args!("reload failed, the previous configuration remains in force: {error}"));
@@ -103,6 +114,14 @@
         }
     }
 
+    /// Passes the versions of classes that clients may know on to a process that replaces this one.
+    async fn share_versions(&self) {
+        if let Some(shared) = &self.shared_versions {
+            let versions = self.classes.borrow().versions(self.handle.clock().now());
+            shared.write(versions).await;
+        }
+    }
+
     /// Reloads the configuration, with retries while the file cannot be read: the file's content is to be
     /// in force from the signal on.
     async fn reload_with_retry(&mut self) -> Result<SocketAddr, ConfigError> {
--- a/crates/proxy-server/src/lib.rs
+++ b/crates/proxy-server/src/lib.rs
@@ -3,6 +3,7 @@
 #![forbid(unsafe_code)]
 
 mod admin_handler;
+mod class_versions;
 mod config_reload;
 pub mod error;
 mod learned_state;
--- a/crates/proxy-server/src/server.rs
+++ b/crates/proxy-server/src/server.rs
@@ -9,11 +9,14 @@
 mod listener;
 
 use crate::admin_handler::{AdminContext, AdminHandler, ConnectionLimits};
+use crate::class_versions::SharedClassVersions;
 use crate::config_reload::ConfigReload;
 use crate::error::ProxyServerError;
 use crate::persistence::{OpenedState, PersistentState};
 use crate::unserved_log::log_unserved;
+use admin::class_version_file::ClassVersionFile;
 use admin::exclusions::Exclusions;
+use admin::machine_time::MachineTime;
 use balancer::api::Micros;
 use client_front_end::{ClientFrontEnd, ClientFrontEndOptions};
 use discovery::DiscoveryParts;
@@ -134,7 +137,11 @@
         let registry = external_processor.as_ref().map(|settings| shared_registry(settings.limits.retained));
         let DiscoveryParts { watcher, backend_list, has_backend_list, address_sender } =
             DiscoveryParts::create(&mut config, exclusions, poll_requests, &handle);
-        let config_reload = ConfigReload::new(&config, handle.clone(), fingerprint)?;
+        let shared_versions = state.as_ref().map(|_| {
+            let machine_time = MachineTime::new(clock.now());
+            SharedClassVersions::new(ClassVersionFile::new(&env::temp_dir(), &config.name, machine_time))
+        });
+        let config_reload = ConfigReload::new(&config, handle.clone(), fingerprint, shared_versions)?;
         let classes = config_reload.classes();
         let grpc_front_end = match external_processor.as_ref().zip(registry.as_ref()) {
             Some((settings, registry)) => {
--- a/crates/proxy-server/tests/operations/replacement.rs
+++ b/crates/proxy-server/tests/operations/replacement.rs
@@ -266,3 +266,40 @@
     slow.join().expect("the backend wrote everything");
     assert_eq!(new.client().exchange(&request("read", "last", "")).body, b"quick");
 }
+
+/// Guards against a duplicate execution: a process that started right after a reload knew only the new version of
+/// a class, and retried requests of clients that still used the previous one in another cell.
+#[test]
+fn new_process_knows_the_versions_that_clients_may_still_use() {
+    let discovery = Discovery::start();
+    let backends: Vec<Backend> =
+        (0..4).map(|_| Backend::start(|_| BackendAction::WriteAndClose(Vec::new()))).collect();
+    let entry = |(cell, backend): (usize, &Backend)| {
+        let mut entry = backend_entry(&format!("s-{cell}"), backend.address, "active", 0);
+        entry["cell"] = cell.into();
+        entry
+    };
+    let folder = create_empty_folder("class-versions");
+    let mut config = config_with_console(&discovery, None);
+    let (mut old, console) = Proxy::start_with_console(&folder, "old", &config);
+    discovery.publish_and_wait(true, &backends.iter().enumerate().map(entry).collect::<Vec<_>>());
+    wait_for_response(console, "readyz\n", "SUCCESS");
+    // The second reload replaces the version in between, too.
+    for objective in [10_000_000, 9_000_000] {
+        config["settings"]["classes"][1]["group"] = "all".into();
+        config["settings"]["classes"][1]["aimUs"] = objective.into();
+        fs::write(folder.join("old.json"), config.to_string()).expect("write the configuration");
+        old.signal("-HUP");
+        old.wait_for_log("reloaded the configuration");
+    }
+    config["listen"] = serde_json::json!(old.address.to_string());
+    let (new, new_console) = Proxy::start_with_console(&folder, "new", &config);
+    wait_for_response(new_console, "readyz\n", "SUCCESS");
+    old.terminate();
+    for id in 0..2 {
+        let text = request("submit", &format!("key-{id}"), "x").replace("15000", "5000");
+        let status = new.client().exchange(&text).status();
+        let cells = backends.iter().filter(|backend| backend.take_request_count() > 0).count();
+        assert_eq!((status, cells), (502, 1), "key-{id} may have run, and was sent in other cells");
+    }
+}
--- a/crates/request-engine/src/class_registry.rs
+++ b/crates/request-engine/src/class_registry.rs
@@ -12,7 +12,7 @@
 
 pub use request_class::{ClaimPolicy, RequestClass};
 
-use balancer::api::{Micros, Settings};
+use balancer::api::{Idempotency, Micros, Settings};
 use rustc_hash::FxHashMap;
 use std::cell::RefCell;
 use std::rc::Rc;
@@ -40,7 +40,27 @@
 #[derive(Debug)]
 struct EarlierVersion {
     class: RequestClass,
-    served_until: Micros,
+    replaced_at: Micros,
+}
+
+impl EarlierVersion {
+    /// Whether a request at `now` may be meant under it.
+    fn may_apply(&self, now: Micros) -> bool {
+        now < self.replaced_at.saturating_add(PREVIOUS_CLASS_GRACE_PERIOD)
+    }
+}
+
+/// The rules of one version of a class, as another process of this proxy needs them.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ClassVersion {
+    /// The name of the class.
+    pub name: String,
+    /// The effect of executing a request more than once.
+    pub idempotency: Idempotency,
+    /// The response deadline, in microseconds.
+    pub deadline: Micros,
+    /// When a reload replaced or removed it, in microseconds; `None` while it is in force.
+    pub replaced_at: Option<Micros>,
 }
 
 /// The versions of one class that may apply to a request.
@@ -55,13 +75,12 @@
 impl ClassVersions {
     /// Replaces the current version at `now`. The one that was in force until then applies for the grace period.
     fn replace_current(&mut self, now: Micros, current: Option<RequestClass>) {
-        self.earlier.retain(|version| now < version.served_until);
+        self.earlier.retain(|version| version.may_apply(now));
         if self.current == current {
             return;
         }
         if let Some(class) = std::mem::replace(&mut self.current, current) {
-            let served_until = now.saturating_add(PREVIOUS_CLASS_GRACE_PERIOD);
-            self.earlier.push(EarlierVersion { class, served_until });
+            self.earlier.push(EarlierVersion { class, replaced_at: now });
         }
     }
 
@@ -120,12 +139,44 @@
             Some(class) => check(class).map(|()| class).map_err(LookupError::Mismatch),
             None => Err(LookupError::UnknownClass),
         };
-        let served = versions.earlier.iter().rev().filter(|version| now < version.served_until);
+        let served = versions.earlier.iter().rev().filter(|version| version.may_apply(now));
         let mut earlier = served.map(|version| &version.class).filter(|class| check(class).is_ok());
         let latest = current.or_else(|error| earlier.next().ok_or(error))?;
         Ok(earlier.fold(latest.clone(), |rules, version| rules.combined_with(version)))
     }
 
+    /// All versions that may apply to a request at `now` (microseconds).
+    #[must_use]
+    pub fn versions(&self, now: Micros) -> Vec<ClassVersion> {
+        let exported = |class: &RequestClass, replaced_at| ClassVersion {
+            name: class.name.to_string(),
+            idempotency: class.idempotency,
+            deadline: class.deadline,
+            replaced_at,
+        };
+        let classes = self.classes.values();
+        let all = classes.flat_map(|versions| {
+            let earlier = versions.earlier.iter().filter(|version| version.may_apply(now));
+            let earlier = earlier.map(|version| exported(&version.class, Some(version.replaced_at)));
+            earlier.chain(versions.current.iter().map(|class| exported(class, None)))
+        });
+        all.collect()
+    }
+
+    /// Adds versions that another process of this proxy had in force before this one started, at `now`
+    /// (microseconds). Those of classes that are not in force are not added.
+    pub fn add_earlier(&mut self, now: Micros, versions: &[ClassVersion]) {
+        for version in versions {
+            let Some(class) = self.classes.get_mut(version.name.as_str()) else { continue };
+            let Some(current) = &class.current else { continue };
+            let earlier = current.with_rules(version.idempotency, version.deadline);
+            if earlier != *current {
+                let replaced_at = version.replaced_at.unwrap_or(now);
+                class.earlier.push(EarlierVersion { class: earlier, replaced_at });
+            }
+        }
+    }
+
     /// The maximum number of attempts of a request that arrives now.
     #[must_use]
     pub fn max_attempts(&self) -> u16 {
--- a/crates/request-engine/src/class_registry/request_class.rs
+++ b/crates/request-engine/src/class_registry/request_class.rs
@@ -16,13 +16,13 @@
 }
 
 impl ClaimPolicy {
-    fn of(class: &Class) -> Self {
-        match class.idempotency {
+    fn new(idempotency: Idempotency, deadline: Micros) -> Self {
+        match idempotency {
             Idempotency::Idempotent => Self { is_keyed: false, key_ttl: 0, retention: 0 },
             Idempotency::Keyed { ttl, .. } => {
-                Self { is_keyed: true, key_ttl: ttl, retention: ttl.max(class.deadline) }
+                Self { is_keyed: true, key_ttl: ttl, retention: ttl.max(deadline) }
             }
-            Idempotency::NonIdempotent => Self { is_keyed: false, key_ttl: 0, retention: class.deadline },
+            Idempotency::NonIdempotent => Self { is_keyed: false, key_ttl: 0, retention: deadline },
         }
     }
 
@@ -59,10 +59,16 @@
             index: u8::try_from(index).ok()?,
             deadline: class.deadline,
             idempotency: class.idempotency,
-            claim_policy: ClaimPolicy::of(class),
+            claim_policy: ClaimPolicy::new(class.idempotency, class.deadline),
         })
     }
 
+    /// A version with these rules that is served as this one.
+    pub(super) fn with_rules(&self, idempotency: Idempotency, deadline: Micros) -> Self {
+        let claim_policy = ClaimPolicy::new(idempotency, deadline);
+        Self { deadline, idempotency, claim_policy, ..self.clone() }
+    }
+
     /// The rules for a request that may be meant under this version of its class or under an `earlier` one: the
     /// stricter parts of both. The request is claimed as either version requires.
     pub(super) fn combined_with(&self, earlier: &Self) -> Self {
