Give a request without a stated time the shortest deadline of its class's versions

What callers would see: for 3 s after a reload that lengthens a deadline, a caller of the external processor that states no time and knows the shorter one is decided for the longer one, and may be answered too late.

Cause: RequestClass::deadline was one number of one version for two uses: the bound on a stated time, and the time where none is stated.

Change: default_timeout, the shortest deadline of all versions that may apply. A stated time is bounded as before.

Evidence: request_without_a_stated_time_has_the_shortest_deadline_of_all_versions on the code before, with the old field: 5 s where 1 s is due; passes now, in both directions.

Costs honest clients: a caller that states no time has the shorter of two deadlines for 3 s.

--- a/crates/external-processor/src/decision_service/messages.rs
+++ b/crates/external-processor/src/decision_service/messages.rs
@@ -61,7 +61,7 @@
             tenant: self.tenant,
             key: self.affinity_key,
             arrived_at: self.arrived_at,
-            timeout: self.timeout.map_or(class.deadline, |timeout| timeout.min(class.deadline)),
+            timeout: self.timeout.map_or(class.default_timeout, |timeout| timeout.min(class.deadline)),
             expected_work: self.expected_work,
             is_retry: self.is_retry,
             upload_time: 0,
--- a/crates/request-engine/src/class_registry/request_class.rs
+++ b/crates/request-engine/src/class_registry/request_class.rs
@@ -43,8 +43,11 @@
     pub name: ClassName,
     /// The index in the settings of the version by whose objective and weight the request is served.
     pub index: u8,
-    /// The response deadline of a request, as a duration from its arrival in microseconds.
+    /// The maximum time of a request from its arrival to its response deadline, in microseconds.
     pub deadline: Micros,
+    /// The time of a request whose sender states none, in microseconds: the shortest deadline of all versions that
+    /// may apply.
+    pub default_timeout: Micros,
     /// The effect of executing a request more than once, by every version that may apply.
     pub idempotency: Idempotency,
     /// How requests are claimed.
@@ -58,6 +61,7 @@
             name: Rc::clone(name),
             index: u8::try_from(index).ok()?,
             deadline: class.deadline,
+            default_timeout: class.deadline,
             idempotency: class.idempotency,
             claim_policy: ClaimPolicy::new(class.idempotency, class.deadline),
         })
@@ -66,7 +70,7 @@
     /// A version with these rules that is served as this one.
     pub(super) fn with_rules(&self, idempotency: Idempotency, deadline: Micros) -> Self {
         let claim_policy = ClaimPolicy::new(idempotency, deadline);
-        Self { deadline, idempotency, claim_policy, ..self.clone() }
+        Self { deadline, default_timeout: deadline, idempotency, claim_policy, ..self.clone() }
     }
 
     /// The rules for a request that may be meant under this version of its class or under an `earlier` one: the
@@ -76,6 +80,11 @@
         let claim_policy = self.claim_policy.combined_with(earlier.claim_policy);
         let is_earlier = idempotency == earlier.idempotency && idempotency != self.idempotency;
         let version = if is_earlier { earlier } else { self };
-        Self { idempotency, claim_policy, ..version.clone() }
+        Self {
+            default_timeout: self.default_timeout.min(earlier.default_timeout),
+            idempotency,
+            claim_policy,
+            ..version.clone()
+        }
     }
 }
--- a/crates/request-engine/tests/class_registry.rs
+++ b/crates/request-engine/tests/class_registry.rs
@@ -178,6 +178,25 @@
     }
 }
 
+/// Guards against late responses: a request whose sender states no time, and knows the shorter deadline of two
+/// versions of its class, got the longer one.
+#[test]
+fn request_without_a_stated_time_has_the_shortest_deadline_of_all_versions() {
+    for (earlier, current) in [(SECOND, 5 * SECOND), (5 * SECOND, SECOND)] {
+        let mut classes = Classes::new(Idempotency::NonIdempotent);
+        for (at, deadline) in [(0, earlier), (SECOND, current)] {
+            let mut changed = with_class(Idempotency::NonIdempotent, 500 * MS);
+            changed.classes[1].deadline = deadline;
+            classes.apply(at, &changed, &[OTHER.to_owned(), NAME.to_owned()]);
+        }
+        let now = PREVIOUS_CLASS_GRACE_PERIOD;
+        let class = classes.find(now);
+        assert_eq!(class.default_timeout, SECOND, "{earlier} {current}");
+        let class = classes.find(now + SECOND);
+        assert_eq!(class.default_timeout, current, "the grace period is over");
+    }
+}
+
 /// A version of the class, and until when it was in force.
 #[derive(Clone, Copy, Debug)]
 struct Version {
