Replace a rejection that another proxy words for a request that may have run

Cause: handle_report_reply knew its own rejection and whatever the other proxy has. That a 429 or 503 says something about the request, whoever words it, was held nowhere.

Change: such a response for an attempt that may have run becomes a 502, unless the class makes a retry safe, by the rule that the balancer rejects by (Idempotency::is_retry_safe). The decision carries it to the stream.

Costs honest clients: a backend's own 503 without X-Unprocessed, for an unsafe or narrowly keyed class, is a 502, as over HTTP.

--- a/crates/balancer/src/api/settings.rs
+++ b/crates/balancer/src/api/settings.rs
@@ -46,6 +46,12 @@
 }
 
 impl Idempotency {
+    /// Whether any backend may get a request again that may have run: it has no further effect, or is dropped.
+    #[must_use]
+    pub fn is_retry_safe(self) -> bool {
+        matches!(self, Self::Idempotent | Self::Keyed { scope: DedupScope::All, .. })
+    }
+
     /// The rules for a request to which either of two versions of its class may apply (rule 2): the narrower
     /// scope and the shorter `ttl` of both, and no retry after an execution if either forbids it.
     #[must_use]
--- a/crates/balancer/src/balancer/retries.rs
+++ b/crates/balancer/src/balancer/retries.rs
@@ -32,10 +32,7 @@
 
 /// Rule 2: whether a response may indicate to the client that a retry is safe.
 pub(super) fn may_reject(request: &OpenRequest) -> bool {
-    match request.idempotency {
-        Idempotency::Idempotent | Idempotency::Keyed { scope: DedupScope::All, .. } => true,
-        Idempotency::Keyed { .. } | Idempotency::NonIdempotent => request.first_execution().is_none(),
-    }
+    request.idempotency.is_retry_safe() || request.first_execution().is_none()
 }
 
 impl Balancer {
--- a/crates/external-processor/src/decision_service/lease_events.rs
+++ b/crates/external-processor/src/decision_service/lease_events.rs
@@ -64,7 +64,8 @@
                 } else {
                     RetryScope::after_attempt(open.idempotency, grant.attempt, open.max_attempts)
                 };
-                let decision = SendDecision { endpoint, grant, retry_scope };
+                let is_retry_safe = open.idempotency.is_retry_safe();
+                let decision = SendDecision { endpoint, grant, retry_scope, is_retry_safe };
                 (open.pending_tag, open.attempt) = (None, Some(decision));
                 let message_ref = MessageRef { caller: open.owner, tag };
                 self.by_lease.insert(grant.lease, handle);
--- a/crates/external-processor/src/decision_service/messages.rs
+++ b/crates/external-processor/src/decision_service/messages.rs
@@ -118,6 +118,8 @@
     pub grant: LeaseGrant,
     /// Whether a retry may follow this attempt.
     pub retry_scope: RetryScope,
+    /// Whether a rejection, which tells the client that a retry is safe, is true although the attempt may have run.
+    pub is_retry_safe: bool,
 }
 
 /// Why a request does not match the class that it names.
--- a/crates/external-processor/src/envoy.rs
+++ b/crates/external-processor/src/envoy.rs
@@ -38,6 +38,9 @@
 /// microseconds.
 const RETRY_DELAY: Micros = 1_000_000;
 
+/// The statuses that tell a client that nothing was executed, so that a retry is safe.
+const REJECTION_STATUSES: [u16; 2] = [429, 503];
+
 /// What the caller of [`ProcessingStream::handle_message`] has to do next.
 #[derive(Debug, PartialEq)]
 pub enum StreamAction {
@@ -79,9 +82,9 @@
     /// A decision has been requested, and its reply is pending.
     AwaitingDecision,
     /// Envoy may make its attempt under this lease.
-    AttemptInFlight(LeaseId),
+    AttemptInFlight { lease: LeaseId, is_retry_safe: bool },
     /// The attempt has been reported, and the reply is pending.
-    AwaitingReportReply { never_executed: bool },
+    AwaitingReportReply { never_executed: bool, is_false_rejection: bool },
     /// The final response has been determined.
     Finished,
     /// Envoy runs in observability mode and ignores all responses.
@@ -282,7 +285,7 @@
     }
 
     fn response_headers(&mut self, head: &HttpHeaders, attributes: &HashMap<String, Struct>) -> StreamAction {
-        let StreamState::AttemptInFlight(lease) = self.state else {
+        let StreamState::AttemptInFlight { lease, is_retry_safe } = self.state else {
             return StreamAction::Respond(pass_through());
         };
         let (mut status, mut is_unprocessed, mut load_report) = (None, false, String::new());
@@ -296,14 +299,19 @@
             }
         }
         let outcome = attempt_outcome(status, is_unprocessed, code_details(attributes));
-        self.state = StreamState::AwaitingReportReply { never_executed: outcome.never_executed() };
+        let never_executed = outcome.never_executed();
+        let is_rejection = status.is_some_and(|status| REJECTION_STATUSES.contains(&status));
+        let is_false_rejection = is_rejection && !never_executed && !is_retry_safe;
+        self.state = StreamState::AwaitingReportReply { never_executed, is_false_rejection };
         StreamAction::Report { lease, outcome, load_report }
     }
 
     /// Converts the reply to the request for a decision to the response to the request's headers.
     pub fn handle_decision_reply(&mut self, now: Micros, reply: Reply) -> Box<ProcessingResponse> {
         self.state = match &reply {
-            Reply::Send(SendDecision { grant, .. }) => StreamState::AttemptInFlight(grant.lease),
+            &Reply::Send(SendDecision { grant, is_retry_safe, .. }) => {
+                StreamState::AttemptInFlight { lease: grant.lease, is_retry_safe }
+            }
             _ => StreamState::Finished,
         };
         match reply {
@@ -318,15 +326,19 @@
     }
 
     /// Converts the reply to the report to the response to the HTTP response's headers: if the attempt never
-    /// ran and the request is rejected, the rejection replaces the response; otherwise the response passes
+    /// ran and the request is rejected, the rejection replaces the response. If it may have run, and the response
+    /// tells the client that a retry is safe although it is not, a failure replaces it. Any other response passes
     /// unchanged.
     pub fn handle_report_reply(&mut self, now: Micros, reply: Reply) -> Box<ProcessingResponse> {
         let previous = std::mem::replace(&mut self.state, StreamState::Finished);
         match (previous, reply) {
             (
-                StreamState::AwaitingReportReply { never_executed: true },
+                StreamState::AwaitingReportReply { never_executed: true, .. },
                 Reply::Final { status: status @ FinalStatus::Rejected(_), .. },
             ) => final_response(now, status),
+            (StreamState::AwaitingReportReply { is_false_rejection: true, .. }, _) => {
+                final_response(now, FinalStatus::Failed)
+            }
             _ => pass_through(),
         }
     }
--- a/crates/proxy-server/tests/external_processor/envoy.rs
+++ b/crates/proxy-server/tests/external_processor/envoy.rs
@@ -11,6 +11,7 @@
 use envoy_types::pb::envoy::service::ext_proc::v3::{
     HttpBody, HttpHeaders, ProcessingRequest, ProcessingResponse, ProtocolConfiguration, body_mutation,
 };
+use envoy_types::pb::google::protobuf::{Struct, Value, value};
 use external_processor::generated as pb;
 use std::net::SocketAddr;
 use tokio::sync::mpsc;
@@ -238,3 +239,46 @@
         }
     });
 }
+
+/// Response headers of this status, with Envoy's details of where the response comes from.
+fn response_headers(status: u16, details: &str) -> ProcessingRequest {
+    let kind = Some(value::Kind::StringValue(details.into()));
+    let fields = [("response.code_details".to_owned(), Value { kind })].into_iter().collect();
+    let response = http_headers(&[header_value(":status", status.to_string().as_bytes())]);
+    ProcessingRequest {
+        attributes: [("envoy.filters.http.ext_proc".to_owned(), Struct { fields })].into_iter().collect(),
+        ..processing_request(RequestKind::ResponseHeaders(response))
+    }
+}
+
+/// Guards against a duplicate execution: the 503 that Envoy words for a connection that broke after the request ran
+/// told its client that a retry is safe.
+#[test]
+fn request_that_may_have_run_is_not_rejected_whoever_worded_the_response() {
+    const RESET: &str = "upstream_reset_before_response_started{connection_termination}";
+    const REFUSED: &str = "upstream_reset_before_response_started{connection_failure}";
+    let cases = [
+        ("charge", 503, RESET, Some(502)),
+        ("submit", 503, RESET, Some(502)),
+        ("charge", 503, "via_upstream", Some(502)),
+        ("charge", 429, "via_upstream", Some(502)),
+        ("charge", 503, REFUSED, Some(503)),
+        // A failure promises nothing, and a request of this class may run twice.
+        ("charge", 504, "response_timeout", None),
+        ("read", 503, RESET, None),
+    ];
+    for (number, (class, status, details, expected)) in cases.into_iter().enumerate() {
+        let proxy = start_proxy(&format!("ep-may-have-run-{number}"), "", &backend_entries(4));
+        run(async {
+            let head = request_head(class, "a");
+            let mut filter = EnvoyFilter::open(proxy.external_processor).await;
+            filter.exchange(processing_request(RequestKind::RequestHeaders(http_headers(&head)))).await;
+            let response = filter.exchange(response_headers(status, details)).await;
+            let replaced = match &response.response {
+                Some(ResponseKind::ImmediateResponse(_)) => Some(immediate_response(response).0),
+                _ => None,
+            };
+            assert_eq!(replaced, expected, "{class}, {status}, {details}");
+        });
+    }
+}
