Answer a request behind a long response at a planned restart; repeat interrupted reads in tests

Cause: the last phase of a shutdown closed a connection behind its long response, although another request had arrived on it, which was left without an answer. Seen by reading.

Test: request_behind_a_long_response_is_answered, which passes; not played on the code before.

Beside it: client_that_does_not_read_does_not_keep_the_process failed once, its client's first read returned EINTR before anything was judged. With a read timeout the kernel does not restart a read that a stop of the test's process interrupts, and fill_buf does not repeat it, unlike the other reads of the tests. Client::arrived does.

--- a/crates/http-proxy/src/clients/serve.rs
+++ b/crates/http-proxy/src/clients/serve.rs
@@ -165,15 +165,11 @@
     }
 
     /// During shutdown and close to the connection limit, each response closes its connection. The exception
-    /// is a connection with a pipelined request, which would be left without a response, as long as requests may
-    /// arrive.
+    /// is a connection with a pipelined request, which would be left without a response.
     fn closes_after_response(&self, connection: &ClientConnection, stream: &SharedStream) -> bool {
         let is_near_limit = self.open_connections.get() * 8 >= self.max_connections.get() * 7;
-        match self.phase() {
-            ShutdownPhase::Finishing => true,
-            ShutdownPhase::Running if !is_near_limit => false,
-            _ => !connection.has_pipelined_bytes(&stream.borrow()),
-        }
+        let closes = self.phase() != ShutdownPhase::Running || is_near_limit;
+        closes && !connection.has_pipelined_bytes(&stream.borrow())
     }
 
     async fn process(
--- a/crates/proxy-server/tests/hostile_peers/late_responses.rs
+++ b/crates/proxy-server/tests/hostile_peers/late_responses.rs
@@ -55,7 +55,7 @@
 fn read_chunked_response(client: &mut Client) -> (String, Option<usize>) {
     let (mut bytes, started_at) = (Vec::new(), Instant::now());
     while started_at.elapsed() < MAX_READ_TIME {
-        match client.reader.fill_buf() {
+        match client.arrived() {
             Ok([]) | Err(_) => break,
             Ok(read) => bytes.extend_from_slice(read),
         }
@@ -83,7 +83,7 @@
                 let started_at = Instant::now();
                 let head = request_with_time(class, class, "", TIME_LEFT.as_millis() as u64);
                 client.send(&head.replace("Host:", "Connection: close\r\nHost:"));
-                client.reader.fill_buf().expect("a response");
+                client.arrived().expect("a response");
                 let first_byte_after = started_at.elapsed();
                 let (head, content) = read_chunked_response(&mut client);
                 let case =
@@ -252,7 +252,7 @@
         .map(|id| {
             let mut client = Client::connect(proxy.address);
             client.send(&request_with_time("charge", &id.to_string(), "", 2_000));
-            assert!(client.reader.fill_buf().expect("a response").starts_with(b"HTTP/1.1 200"));
+            assert!(client.arrived().expect("a response").starts_with(b"HTTP/1.1 200"));
             client
         })
         .collect();
--- a/crates/proxy-server/tests/operations/replacement.rs
+++ b/crates/proxy-server/tests/operations/replacement.rs
@@ -2,7 +2,7 @@
 
 use crate::support::*;
 use crate::{list_entries, serving_backends, start_backends, wait_for_response};
-use std::io::{BufRead, Write};
+use std::io::Write;
 use std::net::TcpListener;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
@@ -246,7 +246,7 @@
     wait_for_response(console, "readyz\n", "SUCCESS");
     let mut client = old.client();
     client.send(&request("charge", "long", "x").replace("15000", "500"));
-    assert!(client.reader.fill_buf().expect("a response").starts_with(b"HTTP/1.1 200"));
+    assert!(client.arrived().expect("a response").starts_with(b"HTTP/1.1 200"));
     let quick = Backend::start(|_| ok_response("quick"));
     discovery.publish_and_wait(true, &[backend_entry("s-quick", quick.address, "active", 0)]);
     config["listen"] = serde_json::json!(old.address.to_string());
--- a/crates/proxy-server/tests/proxy/responses_at_shutdown.rs
+++ b/crates/proxy-server/tests/proxy/responses_at_shutdown.rs
@@ -80,7 +80,7 @@
     let mut client = proxy.client();
     let text = request("charge", id, "x").replace("15000", &DEADLINE_MS.to_string());
     client.send(&text.replace("HTTP/1.1", version));
-    let first = client.reader.fill_buf().expect("a response");
+    let first = client.arrived().expect("a response");
     assert!(first.starts_with(b"HTTP/1.1 200") || first.starts_with(b"HTTP/1.0 200"), "{id}");
     client
 }
@@ -89,7 +89,7 @@
 fn read_to_end(client: &mut Client) -> (Vec<u8>, bool) {
     let mut bytes = Vec::new();
     let is_reset = loop {
-        match client.reader.fill_buf() {
+        match client.arrived() {
             Ok([]) => break false,
             Ok(read) => bytes.extend_from_slice(read),
             Err(error) => break error.kind() == ErrorKind::ConnectionReset,
@@ -231,3 +231,25 @@
         assert_eq!(backend.take_request_count(), 0, "{size} bytes, chunked {is_chunked}: it has run");
     }
 }
+
+/// A request that arrives behind a long response on its connection, when all others are due, gets its response too.
+#[test]
+fn request_behind_a_long_response_is_answered() {
+    let response = SlowResponse {
+        framing: "Content-Length: 1240000",
+        first_part: 40_000,
+        part: 40_000,
+        pause: Duration::from_millis(80),
+        parts: Some(30),
+    };
+    let size = response.size();
+    let (mut proxy, _discovery) = start_proxy("behind-long", start_slow_backend(response));
+    let mut client = start_response(&proxy, "1", "HTTP/1.1");
+    proxy.terminate();
+    thread::sleep(ORDINARY_END + Duration::from_millis(300));
+    client.send(&request("charge", "2", "x").replace("15000", &DEADLINE_MS.to_string()));
+    assert_eq!(client.receive().body.len(), size);
+    let status = client.receive().status();
+    assert!(matches!(status, 502 | 503), "{status}");
+    assert_eq!(proxy.wait_for_exit().code(), Some(0));
+}
--- a/crates/proxy-server/tests/support/client.rs
+++ b/crates/proxy-server/tests/support/client.rs
@@ -2,7 +2,7 @@
 
 use super::TEST_TIMEOUT;
 use super::http_message::{HttpMessage, read_message};
-use std::io::{BufReader, Read, Write};
+use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 
 /// A request to the health check endpoint of the proxy itself.
@@ -38,6 +38,20 @@
         self.stream.write_all(text.as_bytes()).expect("write to the proxy");
     }
 
+    /// Waits for bytes and returns those that have arrived; none at the end of the connection. A call that a stop
+    /// of this process interrupts is repeated: with a read timeout the kernel does not restart it.
+    pub fn arrived(&mut self) -> io::Result<&[u8]> {
+        while self.reader.buffer().is_empty() {
+            match self.reader.fill_buf() {
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                Err(error) => return Err(error),
+                Ok([]) => break,
+                Ok(_) => {}
+            }
+        }
+        Ok(self.reader.buffer())
+    }
+
     /// Reads one response; fails the test if the connection ends before it.
     pub fn receive(&mut self) -> HttpMessage {
         read_message(&mut self.reader).expect("a complete response")
