--- a/crates/balancer/src/state/executions.rs
+++ b/crates/balancer/src/state/executions.rs
@@ -6,8 +6,8 @@
 use rustc_hash::FxHashMap;
 use std::collections::VecDeque;
 
-/// How long an id or a key is remembered at least. Ids are new with every request, so this only bounds the memory;
-/// a key may come again under a version of its class that has a longer time to live.
+/// How long an id or a key is remembered at least. Ids are new with every request, so this only bounds the
+/// memory; a key may come again under a version of its class that has a longer time to live.
 const MIN_RETENTION: Micros = 30 * SECOND;
 /// Maximum number of remembered ids, and of remembered keys. At the maximum, the oldest are forgotten.
 const MAX_REMEMBERED: usize = 8_192;
@@ -36,7 +36,8 @@
 }
 
 impl Remembered {
-    /// Whether a backend may still remember the key, by the time to live of either of two versions of its class.
+    /// Whether a backend may still remember the key, by the time to live of either of two versions of its
+    /// class.
     fn is_key_valid(&self, now: Micros, key_ttl: Micros) -> bool {
         now < self.execution.sent_at.saturating_add(self.key_ttl.max(key_ttl))
     }
