Count responses that were given up and uploads that were not read, with their ids

In its logs a cut response has no id (request -), and nothing tells whether an answer was given up by a pause or by its rate, nor why a large request ended. Each event of a connection now names the last request on it; new: incomplete_response with the bytes that came and the pause, blocked_upload and late_upload with the bytes passed on.

--- a/crates/http-proxy/src/backend_pool/attempt.rs
+++ b/crates/http-proxy/src/backend_pool/attempt.rs
@@ -8,6 +8,7 @@
 use super::{AttemptCompletion, BackendPool, PooledBackend};
 use crate::body::StreamedUpload;
 use crate::client_connection::ClientPresence;
+use crate::connection_events::ConnectionEvent;
 use crate::exchange::{
     ExchangeError, ForwardedRequest, RequestBody, ResponseDeadlines, build_request, exchange, min_head_size,
 };
@@ -144,7 +145,10 @@
         let is_fully_written = body_size.is_some_and(|size| connection.socket.written() >= head_end + size);
         let mut end = match exchanged {
             Ok(response) => self.response_end(response, backend, connection),
-            Err(error) => failure_outcome(error, is_fully_written, &request.body).into(),
+            Err(error) => {
+                record_failure(error, request);
+                failure_outcome(error, is_fully_written, &request.body).into()
+            }
         };
         if let RequestBody::Streamed(upload) = &request.body {
             let upload_end = upload.completed_at().unwrap_or_else(Instant::now);
@@ -155,6 +159,26 @@
     }
 }
 
+/// Counts why an attempt was given up within its response or its request.
+fn record_failure(error: ExchangeError, request: &ForwardedRequest) {
+    let Some(client) = &request.client else { return };
+    match (error, &request.body) {
+        (ExchangeError::ResponseIncomplete(progress), _) => {
+            client.record_event(ConnectionEvent::IncompleteResponse, &progress.to_string());
+        }
+        (ExchangeError::TimedOut, RequestBody::Streamed(upload)) if upload.completed_at().is_none() => {
+            let event = if upload.is_blocked() {
+                ConnectionEvent::BlockedUpload
+            } else {
+                ConnectionEvent::LateUpload
+            };
+            let forwarded = upload.forwarded_bytes();
+            client.record_event(event, &format!("{forwarded} bytes of the body were passed on"));
+        }
+        _ => {}
+    }
+}
+
 /// The outcome of an attempt without a response.
 fn failure_outcome(error: ExchangeError, is_fully_written: bool, body: &RequestBody) -> Outcome {
     let is_upload_incomplete = || {
@@ -165,7 +189,9 @@
         // Also if the request was not written completely: the meaning of an early response is unknown.
         ExchangeError::Malformed => Outcome::Malformed,
         ExchangeError::Cancelled if is_fully_written => Outcome::Cancelled,
-        ExchangeError::TimedOut if is_fully_written => Outcome::Timeout,
+        ExchangeError::TimedOut | ExchangeError::ResponseIncomplete(_) if is_fully_written => {
+            Outcome::Timeout
+        }
         ExchangeError::ConnectionFailed if is_fully_written => Outcome::Reset,
         ExchangeError::Cancelled => Outcome::NotSent,
         // The client aborted the upload or was too slow: not a failure of the backend.
--- a/crates/http-proxy/src/backend_pool/health_check.rs
+++ b/crates/http-proxy/src/backend_pool/health_check.rs
@@ -32,7 +32,7 @@
         let outbound = build_request(&request, backend.address.get(), HEALTH_CHECK_TIMEOUT);
         let deadlines = ResponseDeadlines { attempt: sleep_until(deadline), client: None };
         match exchange(&mut connection.sender, outbound, deadlines).await {
-            Err(ExchangeError::TimedOut) => Outcome::Timeout.into(),
+            Err(ExchangeError::TimedOut | ExchangeError::ResponseIncomplete(_)) => Outcome::Timeout.into(),
             Err(ExchangeError::Malformed) => Outcome::Malformed.into(),
             Err(_) => Outcome::Reset.into(),
             Ok(response) => {
--- a/crates/http-proxy/src/body/late_limit.rs
+++ b/crates/http-proxy/src/body/late_limit.rs
@@ -38,6 +38,12 @@
         self.bytes += bytes as u64;
     }
 
+    /// The time since the last part of the body, or since the head.
+    #[must_use]
+    pub fn pause(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.last_bytes_at)
+    }
+
     /// Whether the body has begun and has not paused for too long at `now`.
     #[must_use]
     pub fn is_active(&self, now: Instant) -> bool {
--- a/crates/http-proxy/src/client_connection.rs
+++ b/crates/http-proxy/src/client_connection.rs
@@ -18,8 +18,10 @@
 use self::framing::Framing;
 use self::read_ahead_buffer::ReadAheadBuffer;
 use self::socket_state::{is_input_empty, is_read_closed};
+use crate::connection_events::{ConnectionEvent, ConnectionEvents};
 use crate::size_limits::MAX_REQUEST_HEAD_BYTES;
 use crate::stall_detector::StallDetector;
+use hyper::header::HeaderValue;
 use socket_io::{acknowledged_bytes, received_data};
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
@@ -119,6 +121,9 @@
     last_byte_at: Cell<Instant>,
     arrivals: RefCell<ArrivalLog>,
     stall_detector: Rc<StallDetector>,
+    events: Rc<ConnectionEvents>,
+    /// The correlation id of the last request.
+    request_id: RefCell<Option<HeaderValue>>,
     had_request: Cell<bool>,
     /// Bytes that arrive now do not belong to the open request.
     request_is_complete: Cell<bool>,
@@ -132,9 +137,9 @@
 }
 
 impl ClientConnection {
-    /// A connection that was accepted at `now`.
+    /// A connection that was accepted at `now`. `events` counts what happens to its requests.
     #[must_use]
-    pub fn new(now: Instant, stall_detector: Rc<StallDetector>) -> Rc<Self> {
+    pub fn new(now: Instant, stall_detector: Rc<StallDetector>, events: Rc<ConnectionEvents>) -> Rc<Self> {
         Rc::new(Self {
             activity: Cell::new(Activity::Idle),
             activity_since: Cell::new(now),
@@ -145,6 +150,8 @@
             last_byte_at: Cell::new(now),
             arrivals: RefCell::default(),
             stall_detector,
+            events,
+            request_id: RefCell::default(),
             had_request: Cell::new(false),
             request_is_complete: Cell::new(false),
             read_ahead: RefCell::default(),
@@ -211,8 +218,14 @@
         self.last_byte_at.get()
     }
 
-    /// Records that the head of a request is complete.
-    pub fn start_request(&self, now: Instant) {
+    /// Counts an event that concerns the open request, or the last one if none is open.
+    pub fn record_event(&self, event: ConnectionEvent, reason: &str) {
+        self.events.record(event, self.request_id.borrow().as_ref(), reason);
+    }
+
+    /// Records that the head of a request is complete. `id` is its correlation id.
+    pub fn start_request(&self, now: Instant, id: Option<HeaderValue>) {
+        self.request_id.replace(id);
         self.had_request.set(true);
         self.framing.borrow_mut().start_request();
         self.set_activity(Activity::Serving, now);
--- a/crates/http-proxy/src/client_connection/presence.rs
+++ b/crates/http-proxy/src/client_connection/presence.rs
@@ -1,6 +1,7 @@
 //! Checks whether the client of an open request is still connected.
 
 use super::{ClientConnection, UnreadBody};
+use crate::connection_events::ConnectionEvent;
 use std::cell::RefCell;
 use std::rc::{Rc, Weak};
 use std::time::Duration;
@@ -26,6 +27,11 @@
         Self { connection: Rc::clone(connection), stream: Rc::downgrade(stream) }
     }
 
+    /// Counts an event that concerns the request.
+    pub fn record_event(&self, event: ConnectionEvent, reason: &str) {
+        self.connection.record_event(event, reason);
+    }
+
     /// The part of the request's body that the kernel holds; `None` if it holds nothing.
     #[must_use]
     pub fn unread_body(&self) -> Option<UnreadBody> {
--- a/crates/http-proxy/src/client_connection/tests.rs
+++ b/crates/http-proxy/src/client_connection/tests.rs
@@ -1,7 +1,7 @@
 use super::*;
 
 fn connection(now: Instant) -> Rc<ClientConnection> {
-    ClientConnection::new(now, StallDetector::new(now))
+    ClientConnection::new(now, StallDetector::new(now), Rc::default())
 }
 
 #[test]
@@ -15,7 +15,7 @@
     connection.receive(b"T /", at(4_000), at(4_000));
     assert_eq!(connection.activity(), Activity::ReadingHead);
     assert!(!connection.has_timed_out(at(4_800)) && connection.has_timed_out(at(4_900)));
-    connection.start_request(at(4_800));
+    connection.start_request(at(4_800), None);
     assert!(!connection.has_timed_out(at(60_000)), "an open request has its own timeout");
     connection.finish_request(at(60_000));
     assert!(!connection.has_timed_out(at(62_400)) && connection.has_timed_out(at(62_500)));
@@ -26,20 +26,20 @@
     let began = Instant::now();
     let connections: Vec<_> = (0..4).map(|n| connection(began + Duration::from_secs(n))).collect();
     connections[0].receive(b"G", began + Duration::from_secs(5), began);
-    connections[3].start_request(began + Duration::from_secs(6));
+    connections[3].start_request(began + Duration::from_secs(6), None);
     let first_evicted = |secs: u64| {
         let now = began + Duration::from_secs(secs);
         let all = (0..4).filter_map(|n| Some((connections[n].eviction_rank(now)?, n)));
         all.min().map(|(_, n)| n)
     };
     assert_eq!(first_evicted(6), Some(1));
-    connections[1].start_request(began);
+    connections[1].start_request(began, None);
     assert_eq!(first_evicted(8), Some(2));
     connections[2].set_activity(Activity::Idle, began + Duration::from_secs(8));
     assert_eq!(first_evicted(8), Some(0), "its head is overdue, the other was just opened");
-    connections[2].start_request(began);
+    connections[2].start_request(began, None);
     assert_eq!(first_evicted(6), Some(0));
-    connections[0].start_request(began);
+    connections[0].start_request(began, None);
     assert_eq!(first_evicted(9), None);
 }
 
--- a/crates/http-proxy/src/clients.rs
+++ b/crates/http-proxy/src/clients.rs
@@ -94,7 +94,7 @@
     last_accept_at: Cell<Instant>,
     stall_detector: Rc<StallDetector>,
     accept_failures: FailureLog,
-    events: ConnectionEvents,
+    events: Rc<ConnectionEvents>,
     /// The correlation ids of the open requests.
     open_request_ids: RefCell<FxHashSet<HeaderValue>>,
     idempotency_registry: Option<idempotency::SharedRegistry>,
@@ -121,7 +121,7 @@
             last_accept_at: Cell::new(Instant::now()),
             stall_detector: options.stall_detector,
             accept_failures: FailureLog::new("accept"),
-            events: ConnectionEvents::default(),
+            events: Rc::default(),
             open_request_ids: RefCell::default(),
             idempotency_registry: options.idempotency_registry,
             shared_claims: options.shared_claims,
--- a/crates/http-proxy/src/clients/serve.rs
+++ b/crates/http-proxy/src/clients/serve.rs
@@ -37,7 +37,8 @@
     /// Serves a connection until it closes.
     pub(super) async fn serve_connection(self: Rc<Self>, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
-        let connection = ClientConnection::new(Instant::now(), Rc::clone(&self.stall_detector));
+        let (stall_detector, events) = (Rc::clone(&self.stall_detector), Rc::clone(&self.events));
+        let connection = ClientConnection::new(Instant::now(), stall_detector, events);
         let index = self.connections.borrow_mut().insert(Rc::clone(&connection));
         let stream = Rc::new(RefCell::new(stream));
         let mode = self.serve_requests(&stream, &connection).await;
@@ -46,7 +47,7 @@
             tokio::select! {
                 () = close(stream.into_inner(), mode) => {}
                 () = connection.evicted_while_closing() => {
-                    self.record_eviction(connection.eviction_rank(Instant::now()));
+                    record_eviction(&connection, connection.eviction_rank(Instant::now()));
                 }
             }
         }
@@ -62,9 +63,9 @@
         connection: &Rc<ClientConnection>,
     ) -> CloseMode {
         let (clients, served, socket) = (Rc::clone(self), Rc::clone(connection), Rc::clone(stream));
-        let service = service_fn(move |request| -> Pin<Box<dyn Future<Output = _>>> {
+        let service = service_fn(move |request: Request<Incoming>| -> Pin<Box<dyn Future<Output = _>>> {
             let (clients, connection, socket) = (Rc::clone(&clients), Rc::clone(&served), Rc::clone(&socket));
-            connection.start_request(Instant::now());
+            connection.start_request(Instant::now(), request.headers().get(CORRELATION_ID).cloned());
             Box::pin(async move {
                 let response = clients.respond(request, &connection, &socket).await;
                 Ok::<_, Infallible>(response.map(|body| TrackedResponse::new(body, connection)))
@@ -96,7 +97,7 @@
                     // complete.
                     Err(error) if error.is_user() => {
                         let reason = error.source().map_or_else(|| error.to_string(), ToString::to_string);
-                        self.events.record(ConnectionEvent::TruncatedResponse, None, &reason);
+                        connection.record_event(ConnectionEvent::TruncatedResponse, &reason);
                         CloseMode::Reset
                     }
                     // If the client has disconnected, its `DisconnectGuard` has notified the engine.
@@ -107,13 +108,13 @@
                     // Unread bytes may be a request, which the close would lose.
                     let rank = connection.eviction_rank(Instant::now());
                     if connection.can_be_evicted(Instant::now()) && connection.is_input_empty(&stream.borrow()) {
-                        self.record_eviction(rank);
+                        record_eviction(connection, rank);
                         return CloseMode::Immediate;
                     }
                 }
                 () = sleep(check_interval) => {
                     if let Some(mode) = due_close(connection, &stream.borrow(), current_phase) {
-                        self.record_close(connection);
+                        record_close(connection);
                         return mode;
                     }
                 }
@@ -121,23 +122,6 @@
         }
     }
 
-    fn record_eviction(&self, rank: Option<EvictionRank>) {
-        if let Some(rank) = rank {
-            let event = ConnectionEvent::of_eviction(rank.class);
-            self.events.record(event, None, "another client waits for a connection");
-        }
-    }
-
-    /// Records why a connection is closed that has timed out. Idle ones are closed all the time.
-    fn record_close(&self, connection: &ClientConnection) {
-        let event = match connection.activity() {
-            Activity::Idle => return,
-            Activity::ReadingHead => ConnectionEvent::HeadTimeout,
-            Activity::Serving | Activity::Closing => ConnectionEvent::UnreadResponse,
-        };
-        self.events.record(event, None, "the time for it is over");
-    }
-
     async fn respond(
         &self,
         request: Request<Incoming>,
@@ -147,11 +131,10 @@
         let mut response = if request.uri().path() == "/up" {
             self.up_response()
         } else {
-            let id = request.headers().get(CORRELATION_ID).cloned();
             let responded = self.process(request, connection, stream).await;
             responded.unwrap_or_else(|rejected| {
                 let event = ConnectionEvent::of_rejection(rejected.status);
-                self.events.record(event, id.as_ref(), rejected.reason.trim_end());
+                connection.record_event(event, rejected.reason.trim_end());
                 let mut response = rejection_response(&rejected);
                 // Bytes that follow an invalid request may be a part of it.
                 add_connection_close(&mut response);
@@ -201,6 +184,23 @@
     }
 }
 
+fn record_eviction(connection: &ClientConnection, rank: Option<EvictionRank>) {
+    if let Some(rank) = rank {
+        let event = ConnectionEvent::of_eviction(rank.class);
+        connection.record_event(event, "another client waits for a connection");
+    }
+}
+
+/// Records why a connection is closed that has timed out. Idle ones are closed all the time.
+fn record_close(connection: &ClientConnection) {
+    let event = match connection.activity() {
+        Activity::Idle => return,
+        Activity::ReadingHead => ConnectionEvent::HeadTimeout,
+        Activity::Serving | Activity::Closing => ConnectionEvent::UnreadResponse,
+    };
+    connection.record_event(event, "the time for it is over");
+}
+
 /// How a connection has to close now because of its timeouts or the shutdown; `None` if it stays open.
 fn due_close(connection: &ClientConnection, stream: &TcpStream, phase: ShutdownPhase) -> Option<CloseMode> {
     let now = Instant::now();
--- a/crates/http-proxy/src/connection_events.rs
+++ b/crates/http-proxy/src/connection_events.rs
@@ -37,11 +37,17 @@
     EvictedBody,
     /// A response was cut off, since its backend did not complete it.
     TruncatedResponse,
+    /// A response had begun and was given up at the end of its client's time.
+    IncompleteResponse,
+    /// The backend of a large request did not read on until the client's time was over.
+    BlockedUpload,
+    /// The body of a large request stopped arriving, or arrived too slowly.
+    LateUpload,
 }
 
 impl ConnectionEvent {
     /// All events with their names in the log, in the order of their declaration.
-    const NAMES: [(Self, &str); 10] = [
+    const NAMES: [(Self, &str); 13] = [
         (Self::RejectedForm, "rejected_form"),
         (Self::RejectedLateBody, "rejected_late_body"),
         (Self::RejectedLargeBody, "rejected_large_body"),
@@ -52,6 +58,9 @@
         (Self::EvictedHead, "evicted_head"),
         (Self::EvictedBody, "evicted_body"),
         (Self::TruncatedResponse, "truncated_response"),
+        (Self::IncompleteResponse, "incomplete_response"),
+        (Self::BlockedUpload, "blocked_upload"),
+        (Self::LateUpload, "late_upload"),
     ];
 
     /// The event of a request that is rejected with this status.
--- a/crates/http-proxy/src/exchange.rs
+++ b/crates/http-proxy/src/exchange.rs
@@ -2,7 +2,7 @@
 
 mod receive;
 
-pub use receive::{PartialBody, ReceivedBody, ResponseDeadlines};
+pub use receive::{PartialBody, ReceivedBody, ResponseDeadlines, ResponseProgress};
 
 use self::receive::receive_body;
 use crate::body::{OutboundBody, ResponseBody, StreamedUpload, exact_size};
@@ -110,6 +110,8 @@
     Malformed,
     /// The time limit of the attempt has passed.
     TimedOut,
+    /// The same within the body of a response.
+    ResponseIncomplete(ResponseProgress),
     /// The attempt was cancelled before the response was received.
     Cancelled,
 }
--- a/crates/http-proxy/src/exchange/receive.rs
+++ b/crates/http-proxy/src/exchange/receive.rs
@@ -5,8 +5,10 @@
 use crate::size_limits::MAX_BUFFERED_BODY_BYTES;
 use bytes::Bytes;
 use hyper::body::Incoming;
+use std::fmt;
 use std::future::Future;
 use std::pin::Pin;
+use std::time::Duration;
 use tokio::time::{Instant, sleep_until};
 
 /// The body of a response, as far as it was received.
@@ -29,6 +31,28 @@
     pub is_late: bool,
 }
 
+/// How much of a response's body had arrived when it was given up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ResponseProgress {
+    /// The length of the complete body in bytes, if the head gives it.
+    pub length: Option<u64>,
+    /// The number of bytes that had arrived.
+    pub received: usize,
+    /// The time since the last of them, or since the head if there were none.
+    pub pause: Duration,
+}
+
+impl fmt::Display for ResponseProgress {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} bytes of ", self.received)?;
+        match self.length {
+            Some(length) => write!(f, "{length}")?,
+            None => write!(f, "an unknown number")?,
+        }
+        write!(f, " have arrived, the last {} ms ago", self.pause.as_millis())
+    }
+}
+
 /// When the response to an attempt is due.
 pub struct ResponseDeadlines<F> {
     /// Completes when the attempt's time is over.
@@ -52,6 +76,10 @@
     let mut received = ReceivedBytes::default();
     let mut arrival = ResponseArrival::new(Instant::now());
     let mut is_attempt_over = false;
+    let incomplete = |received: usize, arrival: &ResponseArrival| {
+        let progress = ResponseProgress { length, received, pause: arrival.pause(Instant::now()) };
+        ExchangeError::ResponseIncomplete(progress)
+    };
     while received.len() < min_received {
         let inactive_at = arrival.inactive_at();
         let wake_at = match client_deadline {
@@ -69,14 +97,14 @@
             let now = Instant::now();
             let is_expected = is_large || (length.is_none() && arrival.is_active(now));
             if !is_expected {
-                return Err(ExchangeError::TimedOut);
+                return Err(incomplete(received.len(), &arrival));
             }
             if client_deadline.is_some_and(|deadline| now < deadline) {
                 is_attempt_over = true;
                 continue;
             }
             if is_large || !arrival.may_be_large(now) {
-                return Err(ExchangeError::TimedOut);
+                return Err(incomplete(received.len(), &arrival));
             }
             let received = received.into_bytes();
             return Ok(ReceivedBody::Partial(PartialBody { received, remaining, length, is_late: true }));
