--- a/crates/proxy-server/tests/hostile_peers/main.rs
+++ b/crates/proxy-server/tests/hostile_peers/main.rs
@@ -4,10 +4,13 @@
 #[path = "../support/mod.rs"]
 mod support;
 
+mod blocked_uploads;
 mod late_responses;
 mod memory;
 mod repeated_requests;
 mod request_forms;
+mod request_grammar;
+mod responses_in_lumps;
 mod stalled_clients;
 
 use serde_json::Value;
--- a/crates/proxy-server/tests/hostile_peers/request_forms.rs
+++ b/crates/proxy-server/tests/hostile_peers/request_forms.rs
@@ -5,30 +5,30 @@
 use std::io::{Read, Write};
 use std::time::Duration;
 
-const LINE: &str = "POST /charge?key=7f HTTP/1.1";
-const HOST: &str = "Host: a\r\n";
-const LENGTH: &str = "Content-Length: 5\r\n";
-const CHUNKED: &str = "Transfer-Encoding: chunked\r\n";
+pub const LINE: &str = "POST /charge?key=7f HTTP/1.1";
+pub const HOST: &str = "Host: a\r\n";
+pub const LENGTH: &str = "Content-Length: 5\r\n";
+pub const CHUNKED: &str = "Transfer-Encoding: chunked\r\n";
 const CHUNKS: &str = "5\r\nhello\r\n0\r\n\r\n";
 /// How long the test waits for the response to a form; longer than the proxy waits for the rest of a body.
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(4);
 
 /// A request line, the fields beside those that every request has, and the body.
-struct Form(&'static str, String, &'static str);
+pub struct Form(pub &'static str, pub String, pub &'static str);
 
-fn form(fields: &str, body: &'static str) -> Form {
+pub fn form(fields: &str, body: &'static str) -> Form {
     Form(LINE, format!("{HOST}{fields}"), body)
 }
 
-fn line(line: &'static str) -> Form {
+pub fn line(line: &'static str) -> Form {
     Form(line, format!("{HOST}{LENGTH}"), "hello")
 }
 
-fn host(fields: &str) -> Form {
+pub fn host(fields: &str) -> Form {
     Form(LINE, format!("{fields}{LENGTH}"), "hello")
 }
 
-fn field(text: &str) -> Form {
+pub fn field(text: &str) -> Form {
     form(&format!("{text}{LENGTH}"), "hello")
 }
 
@@ -36,12 +36,12 @@
     form(&format!("Transfer-Encoding: {name}\r\n"), CHUNKS)
 }
 
-fn chunks(body: &'static str) -> Form {
+pub fn chunks(body: &'static str) -> Form {
     form(CHUNKED, body)
 }
 
 impl Form {
-    fn text(&self, id: &str) -> String {
+    pub fn text(&self, id: &str) -> String {
         let Self(line, fields, body) = self;
         format!(
             "{line}\r\n{fields}X-Correlation-Id: {id}\r\nX-Service-Class: charge\r\n\
@@ -182,7 +182,7 @@
 
 /// How the bytes of a form are written.
 #[derive(Clone, Copy, Debug)]
-enum Pieces {
+pub enum Pieces {
     Whole,
     SingleBytes,
 }
@@ -202,12 +202,14 @@
     }
 }
 
-fn check_unsound_forms(name: &str, pieces: Pieces) {
+/// Checks that each of these forms is rejected and that nothing of it reaches a backend.
+pub fn check_unsound_forms(name: &str, forms: Vec<(&'static str, Form)>, pieces: Pieces) {
     let discovery = Discovery::start();
     let backend = Backend::start(|request| BackendAction::Write(response_bytes("200 OK", "", &request.body)));
     let proxy = start_proxy(name, &discovery, &[backend.address]);
-    let forms = unsound_forms().into_iter().enumerate();
     let checks: Vec<_> = forms
+        .into_iter()
+        .enumerate()
         .map(|(n, (rule, form))| {
             let mut client = proxy.client();
             std::thread::spawn(move || {
@@ -235,21 +237,26 @@
 
 #[test]
 fn requests_that_are_not_sound_reach_no_backend() {
-    check_unsound_forms("unsound", Pieces::Whole);
+    check_unsound_forms("unsound", unsound_forms(), Pieces::Whole);
 }
 
 #[test]
 fn requests_that_are_not_sound_reach_no_backend_in_single_bytes() {
-    check_unsound_forms("unsound-bytes", Pieces::SingleBytes);
+    check_unsound_forms("unsound-bytes", unsound_forms(), Pieces::SingleBytes);
 }
 
 #[test]
 fn sound_requests_of_every_form_reach_a_backend_whole() {
+    check_sound_forms("sound", sound_forms);
+}
+
+/// Checks that each of these forms reaches a backend whole.
+pub fn check_sound_forms(name: &str, forms: fn() -> Vec<(&'static str, Form)>) {
     let discovery = Discovery::start();
     let backend = Backend::start(|request| BackendAction::Write(response_bytes("200 OK", "", &request.body)));
-    let proxy = start_proxy("sound", &discovery, &[backend.address]);
+    let proxy = start_proxy(name, &discovery, &[backend.address]);
     for pieces in [Pieces::Whole, Pieces::SingleBytes] {
-        for (n, (rule, form)) in sound_forms().into_iter().enumerate() {
+        for (n, (rule, form)) in forms().into_iter().enumerate() {
             let mut client = proxy.client();
             let id = format!("{pieces:?}{n}");
             let text = form.text(&id).replace("X-Service", "Connection: close\r\nX-Service");
