Check chunk extensions and trailers by their grammar, not by their characters

Cause: the scanner of chunked bodies held any text without control characters for an extension, and any line for a trailer. Now it follows BWS, name, value and quoted value of RFC 9112 7.1.1 and name and value of a trailer. Cost: a client whose extensions break the grammar gets 400.

--- a/crates/http-proxy/src/client_connection/framing/chunked.rs
+++ b/crates/http-proxy/src/client_connection/framing/chunked.rs
@@ -1,6 +1,27 @@
 //! Checks the chunked transfer coding of a request body byte by byte, as strictly as RFC 9112 section 7.1
 //! defines it, and finds the end of the body. Pure: no I/O, no clock.
 
+use crate::http_grammar::{is_text, is_token_char, is_white_space};
+
+/// The position within the extensions of a chunk.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ExtensionPosition {
+    /// In white space before a semicolon.
+    BeforeSemicolon,
+    /// After a semicolon, before the name.
+    BeforeName,
+    Name,
+    /// In white space after the name.
+    AfterName,
+    /// After the equals sign.
+    BeforeValue,
+    Value,
+    QuotedValue,
+    /// After a backslash in a quoted value.
+    EscapedCharacter,
+    AfterQuotedValue,
+}
+
 /// The position within a chunked body.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Position {
@@ -9,16 +30,10 @@
         value: u64,
         has_digits: bool,
     },
-    /// In white space after the size, which only an extension may follow.
-    BeforeExtension {
-        size: u64,
-    },
-    Extension {
-        size: u64,
-    },
-    QuotedString {
+    /// Behind the size of a chunk.
+    Extensions {
         size: u64,
-        is_escaped: bool,
+        position: ExtensionPosition,
     },
     /// Before the line feed that ends the line with the size.
     SizeLineEnd {
@@ -31,7 +46,8 @@
     DataLineFeed,
     /// At the start of a trailer line, or of the empty line that ends the body.
     TrailerStart,
-    Trailer,
+    TrailerName,
+    TrailerValue,
     TrailerLineEnd,
     FinalLineFeed,
     End,
@@ -86,32 +102,26 @@
     if size == 0 { Position::TrailerStart } else { Position::Data { remaining: size } }
 }
 
-/// Whether a byte may be part of an extension or a trailer: neither a control character nor, outside of quoted
-/// strings and values, anything that ends a line.
-fn is_text(byte: u8) -> bool {
-    byte == b'\t' || (byte >= b' ' && byte != 0x7f)
-}
-
 impl Position {
     /// The position after `byte`. Data is skipped by [`ChunkedScanner::scan`].
     fn next(self, byte: u8) -> Self {
         match (self, byte) {
             (Self::Size { value, has_digits }, _) => Self::in_size(value, has_digits, byte),
-            (Self::BeforeExtension { size }, b' ' | b'\t') => Self::BeforeExtension { size },
-            (Self::BeforeExtension { size }, b';')
-            | (Self::QuotedString { size, is_escaped: false }, b'"') => Self::Extension { size },
-            (Self::Extension { size }, b'\r') => Self::SizeLineEnd { size },
-            (Self::Extension { size }, b'"') => Self::QuotedString { size, is_escaped: false },
-            (Self::Extension { size }, _) if is_text(byte) && byte < 0x80 => Self::Extension { size },
-            (Self::QuotedString { size, is_escaped }, _) if is_text(byte) => {
-                Self::QuotedString { size, is_escaped: byte == b'\\' && !is_escaped }
+            (Self::Extensions { size, position }, b'\r') if position.may_end_line() => {
+                Self::SizeLineEnd { size }
             }
+            (Self::Extensions { size, position }, _) => match position.next(byte) {
+                Some(position) => Self::Extensions { size, position },
+                None => Self::Malformed,
+            },
             (Self::SizeLineEnd { size }, b'\n') => after_size_line(size),
             (Self::DataCarriageReturn, b'\r') => Self::DataLineFeed,
             (Self::DataLineFeed, b'\n') => Self::Size { value: 0, has_digits: false },
             (Self::TrailerStart, b'\r') => Self::FinalLineFeed,
-            (Self::Trailer, b'\r') => Self::TrailerLineEnd,
-            (Self::TrailerStart | Self::Trailer, _) if is_text(byte) => Self::Trailer,
+            (Self::TrailerStart | Self::TrailerName, _) if is_token_char(byte) => Self::TrailerName,
+            (Self::TrailerName, b':') => Self::TrailerValue,
+            (Self::TrailerValue, b'\r') => Self::TrailerLineEnd,
+            (Self::TrailerValue, _) if is_text(byte) => Self::TrailerValue,
             (Self::TrailerLineEnd, b'\n') => Self::TrailerStart,
             (Self::FinalLineFeed, b'\n') => Self::End,
             _ => Self::Malformed,
@@ -125,9 +135,40 @@
         }
         match byte {
             b'\r' if has_digits => Self::SizeLineEnd { size: value },
-            b';' if has_digits => Self::Extension { size: value },
-            b' ' | b'\t' if has_digits => Self::BeforeExtension { size: value },
+            _ if has_digits => match ExtensionPosition::BeforeSemicolon.next(byte) {
+                Some(position) => Self::Extensions { size: value, position },
+                None => Self::Malformed,
+            },
             _ => Self::Malformed,
         }
     }
 }
+
+impl ExtensionPosition {
+    /// Whether the line may end here.
+    fn may_end_line(self) -> bool {
+        matches!(self, Self::Name | Self::Value | Self::AfterQuotedValue)
+    }
+
+    /// The position after `byte`; `None` if it is not allowed here.
+    fn next(self, byte: u8) -> Option<Self> {
+        let next = match (self, byte) {
+            (Self::BeforeName | Self::Name, _) if is_token_char(byte) => Self::Name,
+            (Self::BeforeValue | Self::Value, _) if is_token_char(byte) => Self::Value,
+            (Self::BeforeValue, b'"') => Self::QuotedValue,
+            (Self::Name | Self::AfterName, b'=') => Self::BeforeValue,
+            (Self::QuotedValue, b'"') => Self::AfterQuotedValue,
+            (Self::QuotedValue, b'\\') => Self::EscapedCharacter,
+            (Self::QuotedValue | Self::EscapedCharacter, _) if is_text(byte) => Self::QuotedValue,
+            (Self::Name | Self::AfterName, _) if is_white_space(byte) => Self::AfterName,
+            (Self::BeforeSemicolon | Self::BeforeName | Self::BeforeValue, _) if is_white_space(byte) => self,
+            (Self::Value | Self::AfterQuotedValue, _) if is_white_space(byte) => Self::BeforeSemicolon,
+            (
+                Self::BeforeSemicolon | Self::Name | Self::AfterName | Self::Value | Self::AfterQuotedValue,
+                b';',
+            ) => Self::BeforeName,
+            _ => return None,
+        };
+        Some(next)
+    }
+}
