Find the end of a head behind a line that ends with LF alone

Callers saw: a malformed chunked body reached a backend if the last line of its head ended with LF and the empty line with CRLF (19 of 19 places). Cause: the framing check and the HTTP library had different rules for the end of a head; the check found none, or one within the body, and then checked nothing. Now an empty line ends the head whatever ends the line before it, and a chunked body whose position is unknown counts as malformed. Its test was red before; a sound chunk at the same 38 places reaches a backend (new test). No cost: the library took these heads, and takes them still.

--- a/crates/http-proxy/src/client_connection/framing.rs
+++ b/crates/http-proxy/src/client_connection/framing.rs
@@ -29,10 +29,11 @@
     is_truncated: bool,
 }
 
-/// The end of a head, which is after its first empty line.
+/// The end of a head, which is after its first empty line. Each line ends with a line feed, and a carriage return
+/// may precede it.
 fn head_end(bytes: &[u8]) -> Option<usize> {
-    let crlf = bytes.windows(4).position(|window| window == b"\r\n\r\n").map(|at| at + 4);
     let lf = bytes.windows(2).position(|window| window == b"\n\n").map(|at| at + 2);
+    let crlf = bytes.windows(3).position(|window| window == b"\n\r\n").map(|at| at + 3);
     crlf.into_iter().chain(lf).min()
 }
 
@@ -122,10 +123,15 @@
         }
     }
 
-    /// Whether the bytes of the open request's body violate the chunked transfer coding.
+    /// Whether the bytes of the open request's body violate the chunked transfer coding. A chunked body whose
+    /// position is unknown can't be checked, and counts as malformed.
     #[must_use]
     pub fn is_body_malformed(&self) -> bool {
-        matches!(self.body, RemainingBody::Chunked(scanner) if scanner.is_malformed())
+        match self.body {
+            RemainingBody::Chunked(scanner) => scanner.is_malformed(),
+            RemainingBody::Unknown => header_value(&self.head, b"transfer-encoding").is_some(),
+            RemainingBody::Nothing | RemainingBody::Bytes(_) => false,
+        }
     }
 
     /// Whether the target of the open request has a fragment, which the HTTP library drops silently.
--- a/crates/http-proxy/src/client_connection/framing/tests.rs
+++ b/crates/http-proxy/src/client_connection/framing/tests.rs
@@ -97,3 +97,24 @@
         assert!(scanner.is_malformed() && scanned == at + 1, "byte {at}");
     }
 }
+
+#[test]
+fn head_ends_at_its_first_empty_line_whatever_ends_its_lines() {
+    for line_ends in [["\r\n", "\r\n"], ["\n", "\n"], ["\r\n", "\n"], ["\n", "\r\n"]] {
+        let [first, second] = line_ends;
+        let head = format!("POST / HTTP/1.1\r\nTransfer-Encoding: chunked{first}{second}");
+        let mut framing = Framing::default();
+        framing.receive(format!("{head}0\r\n\r\n\r\n\r\nG").as_bytes());
+        framing.start_request();
+        assert!(!framing.is_body_malformed() && !framing.is_body_incomplete(), "{line_ends:?}");
+    }
+}
+
+#[test]
+fn chunked_body_whose_position_is_unknown_counts_as_malformed() {
+    let mut framing = Framing::default();
+    framing.receive(&CHUNKED[..CHUNKED.len() - 5]);
+    framing.receive(&[b'y'; MAX_REQUEST_HEAD_BYTES]);
+    framing.start_request();
+    assert!(framing.is_body_malformed());
+}
--- a/crates/proxy-server/tests/hostile_peers/request_grammar.rs
+++ b/crates/proxy-server/tests/hostile_peers/request_grammar.rs
@@ -268,40 +268,46 @@
     Requests(usize),
 }
 
-/// Guards against a check that loses its place: behind much that is read at once, a malformed chunk passed.
-#[test]
-fn malformed_chunk_reaches_no_backend_wherever_it_stands() {
-    let mut cases = vec![Before::Chunks(100)];
-    for bytes in [8_000, 16_000, 16_384, 17_000, 33_000, 60_000] {
-        cases.extend([Before::Chunks(bytes), Before::Request(bytes), Before::Requests(bytes)]);
+impl Before {
+    const SIZES: [usize; 6] = [8_000, 16_000, 16_384, 17_000, 33_000, 60_000];
+
+    fn all() -> Vec<Self> {
+        let of_size = |bytes| [Self::Chunks(bytes), Self::Request(bytes), Self::Requests(bytes)];
+        Self::SIZES.into_iter().flat_map(of_size).chain([Self::Chunks(100)]).collect()
     }
+
+    /// The bytes of a connection: what precedes the end of the chunked body of this request.
+    fn text(self, head: &str, id: &str) -> String {
+        match self {
+            Self::Chunks(bytes) => format!("{head}{bytes:x}\r\n{}\r\n", "x".repeat(bytes)),
+            Self::Request(bytes) => {
+                format!("{}{head}", request("charge", &format!("first-{id}"), &"x".repeat(bytes)))
+            }
+            Self::Requests(bytes) => {
+                let one = |at| request("charge", &format!("{at}-{id}"), &"x".repeat(100));
+                format!("{}{head}", (0..bytes / 300).map(one).collect::<String>())
+            }
+        }
+    }
+}
+
+/// Sends a chunked body with this end at each place, and returns the places, with the end of the last line of the
+/// head, at which it reached a backend.
+fn places_that_reach_a_backend(name: &str, body_end: &str) -> Vec<(Before, &'static str)> {
     let discovery = Discovery::start();
     let backend = Backend::start(|_| {
         let answer = BackendAction::Write(response_bytes("200 OK", "", b"fine"));
         BackendAction::DelayThen(Duration::from_millis(1), Box::new(answer))
     });
-    let proxy = start_proxy("grammar-places", &discovery, &[backend.address]);
+    let proxy = start_proxy(name, &discovery, &[backend.address; 8]);
     let mut reached = Vec::new();
-    for (n, before) in cases.into_iter().enumerate() {
+    for (n, before) in Before::all().into_iter().enumerate() {
         for line_end in ["\r\n", "\n"] {
-            let malformed = "5 \r\nhello\r\n0\r\n\r\n";
-            let id = format!("malformed-{n}-{}", line_end.len());
-            let head = Form(LINE, format!("{HOST}{CHUNKED}"), "").text(&id);
+            let id = format!("place-{n}-{}", line_end.len());
+            let head = Form(LINE, format!("{HOST}{CHUNKED}Connection: close\r\n"), "").text(&id);
             // An empty line may follow a line that ends with a line feed alone.
             let head = head.replace("3000\r\n\r\n", &format!("3000{line_end}\r\n"));
-            let text = match before {
-                Before::Chunks(bytes) => format!("{head}{bytes:x}\r\n{}\r\n{malformed}", "x".repeat(bytes)),
-                Before::Request(bytes) => {
-                    format!(
-                        "{}{head}{malformed}",
-                        request("charge", &format!("first-{id}"), &"x".repeat(bytes))
-                    )
-                }
-                Before::Requests(bytes) => {
-                    let one = |at| request("charge", &format!("{at}-{id}"), &"x".repeat(100));
-                    format!("{}{head}{malformed}", (0..bytes / 300).map(one).collect::<String>())
-                }
-            };
+            let text = format!("{}{body_end}", before.text(&head, &id));
             let mut client = proxy.client();
             client.stream.write_all(text.as_bytes()).expect("write to the proxy");
             let _ = client.reader.read_to_end(&mut Vec::new());
@@ -311,5 +317,18 @@
             }
         }
     }
+    reached
+}
+
+/// Guards against a check that loses its place: behind a head with mixed line ends a malformed chunk passed.
+#[test]
+fn malformed_chunk_reaches_no_backend_wherever_it_stands() {
+    let reached = places_that_reach_a_backend("grammar-places", "5 \r\nhello\r\n0\r\n\r\n");
     assert!(reached.is_empty(), "reached a backend: {reached:?}");
 }
+
+#[test]
+fn sound_chunk_reaches_a_backend_wherever_it_stands() {
+    let reached = places_that_reach_a_backend("grammar-sound-places", "5;a=b\r\nhello\r\n0\r\n\r\n");
+    assert_eq!(reached.len(), 2 * Before::all().len(), "{reached:?}");
+}
