Hold a large response that pauses over its client's time, and judge it between its pauses

Cause: late_limit took a pause for an end: over 450 ms at the client's time, or a rate under 32 kB/s since the first byte, pauses included, and a response that was passed on was cut after 450 ms. But a large response is due with its first bytes only, and slow backends pause for up to 2 s.

Now the pause that is going on does not count. A response that has come for 450 ms without a pause is judged as before. One that came in a burst, or in parts, may be large if it has brought 64 bytes, 8 kB/s in all, and 2 kB/s after the first part; it is passed on at the client's time and may pause for 2.2 s. A drip after a pause shows within 200 ms and is cut.

Cost: a response without a length that stops for good after 64 bytes and more, in a burst or between parts, ends up to 2.2 s after its last byte with a 200 that is cut off, where it was a 502 in time; until then it can't be told from a large one. Lumps under 8 kB/s until 64 KiB have come are cut; those above that never end take 8.2 s at most to be known.

--- a/crates/http-proxy/src/body.rs
+++ b/crates/http-proxy/src/body.rs
@@ -7,7 +7,7 @@
 mod streamed_upload;
 mod tracked_response;
 
-pub use late_limit::{LateLimit, ResponseArrival};
+pub use late_limit::{LateResponse, ResponseArrival};
 pub use memory_budget::{MemoryBudget, MemoryReservation};
 pub use received_bytes::{ReceivedBytes, compact};
 pub use streamed_response::{OnComplete, StreamedResponse};
--- a/crates/http-proxy/src/body/streamed_response.rs
+++ b/crates/http-proxy/src/body/streamed_response.rs
@@ -1,7 +1,6 @@
 //! A response body that is forwarded while it arrives.
 
-use super::late_limit::LATE_INACTIVITY_TIMEOUT;
-use super::{BodyError, FramePoll, LateLimit, StreamedBody, compact};
+use super::{BodyError, FramePoll, LateResponse, StreamedBody, compact};
 use crate::exchange::PartialBody;
 use crate::size_limits::MAX_BODY_BYTES;
 use bytes::Bytes;
@@ -23,8 +22,8 @@
     remaining: Incoming,
     length: Option<u64>,
     forwarded_bytes: u64,
-    /// The time limit if the client's time was over before the body was known to be large.
-    late_limit: Option<LateLimit>,
+    /// Its arrival if the client's time was over before the body was known to be large.
+    late: Option<LateResponse>,
     timer: Pin<Box<Sleep>>,
     on_complete: Option<OnComplete>,
 }
@@ -43,36 +42,33 @@
     /// dropped without being called, it closes the backend connection.
     #[must_use]
     pub fn new(partial: PartialBody, on_complete: OnComplete) -> Self {
-        let PartialBody { received, remaining, length, is_late } = partial;
-        let now = Instant::now();
-        let late_limit = is_late.then(|| LateLimit::new(now, received.len() as u64));
+        let PartialBody { received, remaining, length, late } = partial;
+        let due_at = due_at(Instant::now(), late);
         Self {
             received: Some(received).filter(|received| !received.is_empty()),
             remaining,
             length,
             forwarded_bytes: 0,
-            late_limit,
-            timer: Box::pin(sleep_until(due_at(now, late_limit))),
+            late,
+            timer: Box::pin(sleep_until(due_at)),
             on_complete: Some(on_complete),
         }
     }
 
     /// Records bytes that arrived, and sets the timer for the next ones.
-    fn receive(&mut self, bytes: u64) {
-        self.forwarded_bytes += bytes;
-        if let Some(limit) = &mut self.late_limit {
-            limit.receive(bytes);
+    fn receive(&mut self, bytes: usize) {
+        let now = Instant::now();
+        self.forwarded_bytes += bytes as u64;
+        if let Some(late) = &mut self.late {
+            late.receive(now, bytes);
         }
-        self.timer.as_mut().reset(due_at(Instant::now(), self.late_limit));
+        self.timer.as_mut().reset(due_at(now, self.late));
     }
 }
 
 /// When a body whose last bytes arrived at `now` has stalled.
-fn due_at(now: Instant, late_limit: Option<LateLimit>) -> Instant {
-    match late_limit.and_then(|limit| limit.end()) {
-        Some(end) => end.min(now + LATE_INACTIVITY_TIMEOUT),
-        None => now + INACTIVITY_TIMEOUT,
-    }
+fn due_at(now: Instant, late: Option<LateResponse>) -> Instant {
+    late.and_then(|late| late.due_at()).unwrap_or(now + INACTIVITY_TIMEOUT)
 }
 
 impl StreamedBody for Box<StreamedResponse> {
@@ -89,7 +85,7 @@
             match Pin::new(&mut self.remaining).poll_frame(cx) {
                 Poll::Ready(Some(Ok(frame))) => {
                     let Ok(chunk) = frame.into_data() else { continue };
-                    self.receive(chunk.len() as u64);
+                    self.receive(chunk.len());
                     if self.forwarded_bytes > MAX_BODY_BYTES {
                         return Poll::Ready(Some(Err(BodyError::TooLarge)));
                     }
--- a/crates/http-proxy/src/exchange/receive.rs
+++ b/crates/http-proxy/src/exchange/receive.rs
@@ -1,7 +1,7 @@
 //! Receives the body of a response, as far as it is read before the response is passed on.
 
 use super::ExchangeError;
-use crate::body::{ReceivedBytes, ResponseArrival, next_chunk};
+use crate::body::{LateResponse, ReceivedBytes, ResponseArrival, next_chunk};
 use crate::size_limits::MAX_BUFFERED_BODY_BYTES;
 use bytes::Bytes;
 use hyper::body::Incoming;
@@ -27,8 +27,8 @@
     pub remaining: Incoming,
     /// The length of the complete body in bytes, if the head gives it.
     pub length: Option<u64>,
-    /// Whether the client's time was over before more than [`MAX_BUFFERED_BODY_BYTES`] had arrived.
-    pub is_late: bool,
+    /// How it arrives if the client's time was over before more than [`MAX_BUFFERED_BODY_BYTES`] had arrived.
+    pub late: Option<LateResponse>,
 }
 
 /// How much of a response's body had arrived when it was given up.
@@ -64,7 +64,7 @@
 
 /// Receives a body until it is complete, or until enough has arrived that it can be passed on: the first bytes
 /// if `length` says that it is large, more than [`MAX_BUFFERED_BODY_BYTES`] if there is no length. At the end
-/// of the client's time a body without a length is passed on if it may be large by its rate.
+/// of the client's time a body without a length is passed on if it may be large by the way it arrives.
 pub(super) async fn receive_body(
     mut remaining: Incoming,
     length: Option<u64>,
@@ -106,13 +106,13 @@
             if is_large || !arrival.may_be_large(now) {
                 return Err(incomplete(received.len(), &arrival));
             }
-            let received = received.into_bytes();
-            return Ok(ReceivedBody::Partial(PartialBody { received, remaining, length, is_late: true }));
+            let (received, late) = (received.into_bytes(), Some(LateResponse::new(now, arrival)));
+            return Ok(ReceivedBody::Partial(PartialBody { received, remaining, length, late }));
         };
         let Some(chunk) = chunk else { return Ok(ReceivedBody::Complete(received.into_bytes())) };
         received.push(&chunk, MAX_BUFFERED_BODY_BYTES);
         arrival.receive(Instant::now(), chunk.len());
     }
     let received = received.into_bytes();
-    Ok(ReceivedBody::Partial(PartialBody { received, remaining, length, is_late: false }))
+    Ok(ReceivedBody::Partial(PartialBody { received, remaining, length, late: None }))
 }
