Count a request's body as arrived in whichever buffer it lies

Cause: the deadline of an upload asked only whether the kernel holds unread bytes. What lay in the HTTP library's read buffer while the backend took nothing counted as not arrived, and the client as awaited, for the 2.5 s of a client that stops. And of a chunked body each part that arrived when the backend made room counted as just written, though it had waited behind the full window.

Now the framing, which sees every byte that is read, tells whether the body is complete; the time of a client that is awaited counts from its last arrival and leaves out what it was kept from sending; and send_backlog bounds when the last byte may have been written: once all but 4 MiB before it had arrived, the default maximum of a send buffer, for bodies with and without a length. The part of a response without a length that stops is no longer given out where no client waits for it (health checks).

Cost: a chunked upload whose backend takes longer than its client's time for 4 MiB, with the window full all the while, gets 503 with nothing run, as one with a length got within its last 4 MiB; if the client's send buffer is smaller it would have been in time.

--- a/crates/http-proxy/src/backend_pool.rs
+++ b/crates/http-proxy/src/backend_pool.rs
@@ -6,6 +6,8 @@
 mod health_check;
 mod idle_selection;
 mod response;
+mod send_backlog;
+mod upload_deadline;
 
 use self::connection::{BackendConnection, IdleConnection};
 use self::idle_selection::{idle_limit, select_idle};
--- a/crates/http-proxy/src/backend_pool/attempt.rs
+++ b/crates/http-proxy/src/backend_pool/attempt.rs
@@ -5,27 +5,21 @@
 
 use super::connect::ConnectError;
 use super::connection::BackendConnection;
+use super::upload_deadline::wait_for_upload_deadline;
 use super::{AttemptCompletion, BackendPool, PooledBackend};
-use crate::body::StreamedUpload;
-use crate::client_connection::ClientPresence;
 use crate::connection_events::ConnectionEvent;
 use crate::exchange::{
     ExchangeError, ForwardedRequest, RequestBody, ResponseDeadlines, build_request, exchange, min_head_size,
 };
-use crate::min_transfer_rate;
 use balancer::api::Outcome;
 use request_engine::driver::AttemptTimes;
 use request_engine::driver::cancellation::CancellationSignal;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::{Instant, sleep, sleep_until};
+use tokio::time::{Instant, sleep_until};
 
 /// The minimum time that has to be left when an attempt starts.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(1);
-/// The interval at which the progress of a streamed upload is checked.
-const UPLOAD_CHECK_INTERVAL: Duration = Duration::from_millis(20);
-/// The number of bytes that a client may have written before they arrive: the default maximum of a send buffer.
-const MAX_SEND_BUFFER_BYTES: u64 = 4 << 20;
 /// The number of polls by the runtime until a response that the kernel has received reaches the attempt:
 /// sockets, head, body, and one in reserve. They take microseconds.
 const FINAL_POLLS: u32 = 4;
@@ -203,46 +197,11 @@
 /// Waits until the time limit of an attempt has passed and everything that its backend has sent by then is
 /// read: after a stall the runtime runs timers before it polls sockets.
 async fn wait_for_deadline_and_final_polls(request: &ForwardedRequest, timeout_at: Instant) {
-    wait_for_deadline(request, timeout_at).await;
+    match &request.body {
+        RequestBody::Buffered(_) => sleep_until(timeout_at).await,
+        RequestBody::Streamed(upload) => wait_for_upload_deadline(request, upload).await,
+    }
     for _ in 0..FINAL_POLLS {
         tokio::task::yield_now().await;
     }
 }
-
-/// Waits until the time limit of an attempt has passed. For a streamed upload it counts from the client's last
-/// byte. While the backend does not read on, the client may have written it already; otherwise the client has
-/// to reach the minimum transfer rate.
-async fn wait_for_deadline(request: &ForwardedRequest, timeout_at: Instant) {
-    let RequestBody::Streamed(upload) = &request.body else { return sleep_until(timeout_at).await };
-    let started_at = Instant::now();
-    let mut maybe_written_at = None;
-    loop {
-        if let Some(completed_at) = upload.completed_at() {
-            return sleep_until(maybe_written_at.unwrap_or(completed_at) + request.timeout).await;
-        }
-        let unread = request.client.as_ref().and_then(ClientPresence::unread_body);
-        let deadline = if let Some(unread) = unread {
-            if unread.not_arrived.is_some_and(|bytes| bytes <= MAX_SEND_BUFFER_BYTES) {
-                maybe_written_at.get_or_insert(unread.last_arrival);
-            }
-            maybe_written_at.unwrap_or(unread.last_arrival) + request.timeout
-        } else {
-            maybe_written_at = None;
-            upload_deadline(upload, started_at)
-        };
-        if Instant::now() > deadline {
-            if unread.is_some() {
-                upload.mark_blocked();
-            }
-            return;
-        }
-        sleep(UPLOAD_CHECK_INTERVAL).await;
-    }
-}
-
-/// When a client that is expected to send on is too slow.
-fn upload_deadline(upload: &StreamedUpload, started_at: Instant) -> Instant {
-    let inactivity_deadline = upload.last_chunk_at().max(started_at) + min_transfer_rate::INACTIVITY_TIMEOUT;
-    let rate_deadline = started_at + min_transfer_rate::timeout_after(upload.forwarded_bytes());
-    rate_deadline.min(inactivity_deadline)
-}
--- a/crates/http-proxy/src/body/streamed_upload.rs
+++ b/crates/http-proxy/src/body/streamed_upload.rs
@@ -35,7 +35,6 @@
     connection: Rc<ClientConnection>,
     _reservation: Option<MemoryReservation>,
     forwarded_bytes: Cell<u64>,
-    last_chunk_at: Cell<Instant>,
     completed_at: Cell<Option<Instant>>,
     client_failed: Cell<bool>,
     is_blocked: Cell<bool>,
@@ -53,7 +52,6 @@
             connection,
             _reservation: reservation,
             forwarded_bytes: Cell::new(0),
-            last_chunk_at: Cell::new(Instant::now()),
             completed_at: Cell::new(None),
             client_failed: Cell::new(false),
             is_blocked: Cell::new(false),
@@ -72,10 +70,10 @@
         self.client_failed.get()
     }
 
-    /// The time at which the last chunk arrived.
+    /// The earliest time at which the last bytes that were read may have arrived.
     #[must_use]
-    pub fn last_chunk_at(&self) -> Instant {
-        self.last_chunk_at.get()
+    pub fn last_arrival(&self) -> Instant {
+        self.connection.last_byte_at()
     }
 
     /// The number of bytes that were forwarded so far.
@@ -139,7 +137,6 @@
             // Trailers belong to the client's framing, which is not forwarded.
             let Ok(chunk) = frame.into_data() else { continue };
             self.count_forwarded(&chunk);
-            self.last_chunk_at.set(Instant::now());
             if self.forwarded_bytes() > MAX_BODY_BYTES {
                 return self.fail(BodyError::TooLarge);
             }
--- a/crates/http-proxy/src/client_connection.rs
+++ b/crates/http-proxy/src/client_connection.rs
@@ -13,7 +13,7 @@
 pub use presence::ClientPresence;
 pub use stream::ClientStream;
 
-use self::arrival_log::ArrivalLog;
+use self::arrival_log::{ArrivalLog, UnreadBytes};
 use self::final_response::{FinalResponseLimit, SentBytes};
 use self::framing::Framing;
 use self::read_ahead_buffer::ReadAheadBuffer;
@@ -58,11 +58,26 @@
 /// The number of bytes that are read ahead at a time.
 const READ_AHEAD_CHUNK_BYTES: usize = 2_048;
 
+/// How much of a request's body has arrived, in whichever buffer it lies.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BodyArrival {
+    /// The complete body, of which the last byte arrived at this time.
+    Complete(Instant),
+    /// A part that the kernel holds, since the backend does not read on.
+    Unread(UnreadBody),
+    /// A part that the kernel does not hold any more: the client has to send on.
+    Read,
+}
+
 /// The part of a request's body that has arrived and is not read, since its backend does not read on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct UnreadBody {
     /// When its last byte arrived.
     pub last_arrival: Instant,
+    /// The number of its bytes.
+    pub count: u64,
+    /// The number of all bytes that have arrived since the connection was established.
+    pub received: u64,
     /// The number of bytes of the body that have not arrived, if its length is known.
     pub not_arrived: Option<u64>,
 }
@@ -200,16 +215,23 @@
         arrived_by.map_or(earliest, |arrived_by| arrived_by.min(earliest))
     }
 
-    /// The part of the open request's body that the kernel holds; `None` if it holds nothing.
+    /// How much of the open request's body has arrived.
     #[must_use]
-    pub fn unread_body(&self, stream: &TcpStream) -> Option<UnreadBody> {
+    pub fn body_arrival(&self, stream: &TcpStream) -> BodyArrival {
         self.record_arrivals(stream);
-        let unread = self.arrivals.borrow().unread()?;
-        let remaining = self.framing.borrow().remaining_length();
-        Some(UnreadBody {
-            last_arrival: unread.last_arrival,
-            not_arrived: remaining.map(|remaining| remaining.saturating_sub(unread.count)),
-        })
+        let framing = self.framing.borrow();
+        if framing.is_body_complete() {
+            // Its end may lie in the buffer of the HTTP library.
+            return BodyArrival::Complete(self.last_byte_at());
+        }
+        let Some(UnreadBytes { count, last_arrival, received }) = self.arrivals.borrow().unread() else {
+            return BodyArrival::Read;
+        };
+        let not_arrived = framing.remaining_length().map(|remaining| remaining.saturating_sub(count));
+        if not_arrived == Some(0) {
+            return BodyArrival::Complete(last_arrival);
+        }
+        BodyArrival::Unread(UnreadBody { last_arrival, count, received, not_arrived })
     }
 
     /// The earliest moment at which the last byte may have arrived.
--- a/crates/http-proxy/src/client_connection/arrival_log.rs
+++ b/crates/http-proxy/src/client_connection/arrival_log.rs
@@ -20,6 +20,8 @@
     pub count: u64,
     /// When the last of them arrived.
     pub last_arrival: Instant,
+    /// The number of all bytes that have arrived since the connection was established.
+    pub received: u64,
 }
 
 /// Samples of the bytes that have arrived and are not read yet.
@@ -62,8 +64,8 @@
     /// The bytes that are not read yet; `None` if there are none.
     #[must_use]
     pub fn unread(&self) -> Option<UnreadBytes> {
-        let count = self.samples.back()?.total_bytes - self.read_bytes;
-        Some(UnreadBytes { count, last_arrival: self.last_arrival? })
+        let received = self.samples.back()?.total_bytes;
+        Some(UnreadBytes { count: received - self.read_bytes, last_arrival: self.last_arrival?, received })
     }
 }
 
--- a/crates/http-proxy/src/client_connection/arrival_log/tests.rs
+++ b/crates/http-proxy/src/client_connection/arrival_log/tests.rs
@@ -10,7 +10,7 @@
     log.record(100, at(0));
     log.record(100, at(5));
     log.record(250, at(40));
-    assert_eq!(log.unread(), Some(UnreadBytes { count: 250, last_arrival: at(40) }));
+    assert_eq!(log.unread(), Some(UnreadBytes { count: 250, last_arrival: at(40), received: 250 }));
     assert_eq!(log.read(60), Some(at(0)));
     assert_eq!(log.read(60), Some(at(40)), "a part of the second sample");
     assert_eq!(log.read(130), Some(at(40)));
--- a/crates/http-proxy/src/client_connection/framing.rs
+++ b/crates/http-proxy/src/client_connection/framing.rs
@@ -114,6 +114,17 @@
         }
     }
 
+    /// Whether the complete body of the open request has arrived; false if that is unknown.
+    #[must_use]
+    pub fn is_body_complete(&self) -> bool {
+        match self.body {
+            RemainingBody::Nothing => true,
+            RemainingBody::Bytes(remaining) => remaining == 0,
+            RemainingBody::Chunked(scanner) => scanner.has_ended(),
+            RemainingBody::Unknown => false,
+        }
+    }
+
     /// The number of bytes of the open request's body that are not read, if its length is known.
     #[must_use]
     pub fn remaining_length(&self) -> Option<u64> {
--- a/crates/http-proxy/src/client_connection/presence.rs
+++ b/crates/http-proxy/src/client_connection/presence.rs
@@ -1,6 +1,6 @@
 //! Checks whether the client of an open request is still connected.
 
-use super::{ClientConnection, UnreadBody};
+use super::{BodyArrival, ClientConnection};
 use crate::connection_events::ConnectionEvent;
 use std::cell::RefCell;
 use std::rc::{Rc, Weak};
@@ -32,12 +32,12 @@
         self.connection.record_event(event, reason);
     }
 
-    /// The part of the request's body that the kernel holds; `None` if it holds nothing.
+    /// How much of the request's body has arrived; `None` if the connection is closed.
     #[must_use]
-    pub fn unread_body(&self) -> Option<UnreadBody> {
+    pub fn body_arrival(&self) -> Option<BodyArrival> {
         let stream = self.stream.upgrade()?;
         let stream = stream.borrow();
-        self.connection.unread_body(&stream)
+        Some(self.connection.body_arrival(&stream))
     }
 
     /// Whether the client has disconnected by now. Asks the kernel, since the runtime may not have polled the
--- a/crates/http-proxy/src/exchange/receive.rs
+++ b/crates/http-proxy/src/exchange/receive.rs
@@ -103,7 +103,8 @@
                 is_attempt_over = true;
                 continue;
             }
-            if is_large || !arrival.may_be_large(now) {
+            // Only a response that a client waits for is passed on.
+            if is_large || client_deadline.is_none() || !arrival.may_be_large(now) {
                 return Err(incomplete(received.len(), &arrival));
             }
             let (received, late) = (received.into_bytes(), Some(LateResponse::new(now, arrival)));
