Give no client a 408 while bytes that it sent wait to be read

Clients that stop get their 408 as before (stalled_clients). Cost: none for honest clients; a body whose bytes wait is held longer, within the same bounds of memory.

Two tests started proxies under one name, and so with one configuration file: each play has its own name now.

--- a/crates/http-proxy/src/clients/read_body.rs
+++ b/crates/http-proxy/src/clients/read_body.rs
@@ -3,7 +3,7 @@
 use super::ClientConnections;
 use super::local_responses::RejectedRequest;
 use crate::body::{MemoryReservation, ReceivedBytes, StreamedUpload, UploadSource, next_chunk};
-use crate::client_connection::ClientConnection;
+use crate::client_connection::{BodyArrival, ClientConnection, ClientPresence};
 use crate::exchange::RequestBody;
 use crate::min_transfer_rate::{INACTIVITY_TIMEOUT, timeout_after};
 use crate::size_limits::MAX_BUFFERED_BODY_BYTES;
@@ -11,8 +11,12 @@
 use hyper::StatusCode;
 use hyper::body::{Body, Incoming};
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::time::{Instant, timeout_at};
 
+/// The interval at which a body whose time is over, and of which a part waits to be read, is checked.
+const UNREAD_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
 impl ClientConnections {
     /// Buffers a body if it is small or if the memory budget allows it; otherwise the part that has not
     /// arrived is streamed. `length` is that of the complete body in bytes, if it is known.
@@ -21,6 +25,7 @@
         mut body: Incoming,
         length: Option<u64>,
         connection: &Rc<ClientConnection>,
+        client: &ClientPresence,
     ) -> Result<RequestBody, RejectedRequest> {
         if body.is_end_stream() {
             return Ok(RequestBody::Buffered(Bytes::new()));
@@ -30,7 +35,7 @@
         loop {
             let chunk = tokio::select! {
                 biased;
-                chunk = next_chunk_in_time(&mut body, started_at, received.len()) => chunk?,
+                chunk = next_chunk_in_time(&mut body, started_at, received.len(), client) => chunk?,
                 () = self.all_requests_due() => return Err(RejectedRequest::SHUTTING_DOWN),
             };
             if connection.is_body_malformed() {
@@ -82,16 +87,23 @@
     }
 }
 
-/// The next chunk of a body of which `received` bytes have arrived since `started_at`; `None` at the end of
-/// the body.
+/// The next chunk of a body of which `received` bytes have been read since `started_at`; `None` at the end of
+/// the body. A client is not late while bytes that it sent wait to be read.
 async fn next_chunk_in_time(
     body: &mut Incoming,
     started_at: Instant,
     received: usize,
+    client: &ClientPresence,
 ) -> Result<Option<Bytes>, RejectedRequest> {
     let rate_deadline = started_at + timeout_after(received as u64);
-    let deadline = rate_deadline.min(Instant::now() + INACTIVITY_TIMEOUT);
-    let chunk = timeout_at(deadline, next_chunk(body)).await;
-    let chunk = chunk.map_err(|_| RejectedRequest::new(StatusCode::REQUEST_TIMEOUT, "the body is late\n"))?;
-    chunk.map_err(|_| RejectedRequest::MALFORMED_BODY)
+    let mut deadline = rate_deadline.min(Instant::now() + INACTIVITY_TIMEOUT);
+    loop {
+        if let Ok(chunk) = timeout_at(deadline, next_chunk(body)).await {
+            return chunk.map_err(|_| RejectedRequest::MALFORMED_BODY);
+        }
+        if matches!(client.body_arrival(), None | Some(BodyArrival::Read)) {
+            return Err(RejectedRequest::new(StatusCode::REQUEST_TIMEOUT, "the body is late\n"));
+        }
+        deadline = Instant::now() + UNREAD_CHECK_INTERVAL;
+    }
 }
--- a/crates/http-proxy/src/clients/read_request.rs
+++ b/crates/http-proxy/src/clients/read_request.rs
@@ -71,7 +71,7 @@
         let expected_work = header_text(&head.headers, &EXPECTED_WORK).and_then(|v| v.trim().parse().ok());
         let is_retry = header_text(&head.headers, &RETRY) == Some("1");
         let length = exact_size(&body, &head.headers);
-        let body = self.read_body(body, length, connection).await?;
+        let body = self.read_body(body, length, connection, &client).await?;
         // The response deadline counts from the last byte of the request. The end of a streamed body is still
         // to come.
         let arrived_at = self.clock.at(connection.last_byte_at());
--- a/crates/proxy-server/tests/hostile_peers/blocked_uploads.rs
+++ b/crates/proxy-server/tests/hostile_peers/blocked_uploads.rs
@@ -1,7 +1,7 @@
 //! Large requests before backends that read slowly or stop reading.
 
 use crate::least_config;
-use crate::support::{Client, Discovery, Proxy};
+use crate::support::{Client, Discovery, Proxy, listener_with_full_accept_queue};
 use crate::{entries, request_with_time};
 use socket2::{Domain, Socket, Type};
 use std::io::{Read, Write};
@@ -237,3 +237,26 @@
         assert!(late.is_empty(), "{late:#?}");
     }
 }
+
+/// The time before an attempt counts: while connections to the backends do not come up, or all of them are busy.
+#[test]
+fn upload_that_waits_before_its_attempt_is_answered_in_time() {
+    let (full_listener, _filler) = listener_with_full_accept_queue();
+    let unreachable = full_listener.local_addr().expect("local address");
+    for (name, backend) in [("unreachable", unreachable), ("busy", start_backend(Reading::Stops))] {
+        let discovery = Discovery::start();
+        let proxy = start_proxy(name, 32, &discovery, &[backend; 2]);
+        let plays: Vec<_> = (0..24)
+            .map(|n| {
+                let (address, is_chunked) = (proxy.address, n % 2 == 0);
+                thread::spawn(move || {
+                    let bytes = request_bytes(&format!("{name}-{n}"), 100_000 + n * 100_000, is_chunked);
+                    let answer = upload(address, bytes, 0, Duration::ZERO);
+                    answer.is_late().then(|| format!("{name} {n}: {}, {:?}", answer.status, answer.waited))
+                })
+            })
+            .collect();
+        let late: Vec<_> = plays.into_iter().filter_map(|play| play.join().expect("a play")).collect();
+        assert!(late.is_empty(), "{late:#?}");
+    }
+}
--- a/crates/proxy-server/tests/hostile_peers/memory.rs
+++ b/crates/proxy-server/tests/hostile_peers/memory.rs
@@ -51,7 +51,9 @@
     let discovery = Discovery::start();
     let backend =
         start_backend(|request, stream| write_ok(stream, request.body.len().to_string().as_bytes()));
-    let proxy = start_proxy("pieces", &discovery, &[backend]);
+    // Tests run side by side, and the name is that of the configuration file.
+    let name = format!("pieces-{framing:?}-{clients}-{size}");
+    let proxy = start_proxy(&name, &discovery, &[backend]);
     let uploads: Vec<_> = (0..clients)
         .map(|id| {
             let address = proxy.address;
--- a/crates/proxy-server/tests/hostile_peers/repeated_requests.rs
+++ b/crates/proxy-server/tests/hostile_peers/repeated_requests.rs
@@ -89,6 +89,33 @@
     }
 }
 
+/// The same for requests with bodies that are buffered or passed on, with a length and chunked.
+#[test]
+fn large_request_that_may_have_been_executed_is_not_executed_in_another_cell() {
+    for (class, size) in
+        [("charge", 100_000), ("submit", 100_000), ("charge", 3_000_000), ("submit", 3_000_000)]
+    {
+        for departure in [Departure::Orderly, Departure::Reset] {
+            let discovery = Discovery::start();
+            let (addresses, backends): (Vec<_>, Vec<_>) = (0..3).map(|_| start_recorder()).unzip();
+            let proxy = start_proxy("large-again", &discovery, &addresses);
+            let body = "x".repeat(size);
+            let with_length = request_with_time(class, "first", &body, TIME_LEFT_MS);
+            let chunked = with_length
+                .replace(&format!("Content-Length: {size}"), "Transfer-Encoding: chunked")
+                .replace(&body, &format!("{size:x}\r\n{body}\r\n0\r\n\r\n"));
+            for (n, text) in [with_length, chunked].into_iter().enumerate() {
+                let text = text.replace(": first", &format!(": first-{n}"));
+                let (first, first_backend) = send_first(proxy.address, &text, &backends, departure);
+                let status = Client::connect(proxy.address).exchange(&text).status();
+                let again = count_repeated(class, &backends, first_backend);
+                assert_eq!(again, 0, "{class}, {size}, {departure:?}, {n}: {status}, executed again");
+                drop(first);
+            }
+        }
+    }
+}
+
 /// A request that was rejected before any attempt may come again under its id and key.
 #[test]
 fn id_and_key_of_a_rejected_request_are_free_at_once() {
--- a/crates/proxy-server/tests/hostile_peers/responses_in_lumps.rs
+++ b/crates/proxy-server/tests/hostile_peers/responses_in_lumps.rs
@@ -1,6 +1,6 @@
 //! Responses without a length that come in lumps, with rests between them.
 
-use crate::support::{Client, Discovery, HttpMessage};
+use crate::support::{Client, Discovery, HttpMessage, Proxy};
 use crate::{request_with_time, start_backend, start_proxy};
 use std::io::{BufRead, Write};
 use std::net::{Shutdown, TcpStream};
@@ -116,6 +116,17 @@
 
 /// Plays all cases at once, for each effect and framing.
 fn play(name: &str, cases: &'static [Lumps], time_left: Duration, check: fn(&Lumps, &Received) -> bool) {
+    play_with(name, cases, time_left, check, |_| {});
+}
+
+/// [`play`] with a step that follows once all requests are sent.
+fn play_with(
+    name: &str,
+    cases: &'static [Lumps],
+    time_left: Duration,
+    check: fn(&Lumps, &Received) -> bool,
+    after_requests: fn(&Proxy),
+) {
     let discovery = Discovery::start();
     let backend = start_backend(move |request, stream| {
         let (case, framing) = numbers(request);
@@ -137,6 +148,7 @@
             }
         }
     }
+    after_requests(&proxy);
     let mut failed = Vec::new();
     for (name, case, client) in clients {
         let received = client.join().expect("the client");
@@ -173,6 +185,19 @@
     }
 }
 
+/// The same at a planned restart, which begins in the first rest.
+#[test]
+fn large_response_in_lumps_is_completed_at_a_planned_restart() {
+    const CASES: &[Lumps] = &[
+        Lumps::whole(60_000, 1_600, 2),
+        Lumps::whole(40_000, 450, 4),
+        Lumps::whole(1_000, 800, 3),
+        Lumps::whole(200, 1_950, 2),
+    ];
+    let check = |case: &Lumps, received: &Received| received.content == Some(case.total());
+    play_with("lumps-restart", CASES, Duration::from_millis(744), check, Proxy::terminate);
+}
+
 /// A response that goes on with a few bytes after each rest, and never ends, is no large one.
 #[test]
 fn response_that_drips_after_each_rest_has_a_final_answer_in_time() {
