--- a/crates/proxy-server/tests/hostile_peers/late_responses.rs
+++ b/crates/proxy-server/tests/hostile_peers/late_responses.rs
@@ -50,11 +50,10 @@
     }
 }
 
-/// Reads a response to the end of its connection, for [`MAX_READ_TIME`] at most: the head, and the content unless
-/// it is cut off.
-fn read_chunked_response(client: &mut Client) -> (String, Option<usize>) {
+/// Reads what comes until the end of the connection, for `max_time` at most.
+pub fn read_to_end(client: &mut Client, max_time: Duration) -> Vec<u8> {
     let (mut bytes, started_at) = (Vec::new(), Instant::now());
-    while started_at.elapsed() < MAX_READ_TIME {
+    while started_at.elapsed() < max_time {
         match client.arrived() {
             Ok([]) | Err(_) => break,
             Ok(read) => bytes.extend_from_slice(read),
@@ -62,10 +61,21 @@
         let count = client.reader.buffer().len();
         client.reader.consume(count);
     }
+    bytes
+}
+
+/// The head of a response, and the length of its content unless that is cut off.
+pub fn split_response(bytes: &[u8]) -> (String, Option<usize>) {
     let head_end = bytes.windows(4).position(|window| window == b"\r\n\r\n").map_or(bytes.len(), |at| at + 4);
     (String::from_utf8_lossy(&bytes[..head_end]).into_owned(), chunked_content(&bytes[head_end..]))
 }
 
+/// Reads a response to the end of its connection, for [`MAX_READ_TIME`] at most: the head, and the content unless
+/// it is cut off.
+fn read_chunked_response(client: &mut Client) -> (String, Option<usize>) {
+    split_response(&read_to_end(client, MAX_READ_TIME))
+}
+
 /// Over 64 KiB, only the first bytes of a response are due within the client's time.
 #[test]
 fn response_without_length_that_is_still_arriving_at_the_deadline_is_not_cut_off() {
--- a/crates/proxy-server/tests/hostile_peers/responses_in_lumps.rs
+++ b/crates/proxy-server/tests/hostile_peers/responses_in_lumps.rs
@@ -1,8 +1,9 @@
 //! Responses without a length that come in lumps, with rests between them.
 
+use crate::late_responses::{read_to_end, split_response};
 use crate::support::{Client, Discovery, HttpMessage, Proxy};
 use crate::{request_with_time, start_backend, start_proxy};
-use std::io::{BufRead, Write};
+use std::io::Write;
 use std::net::{Shutdown, TcpStream};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -78,33 +79,10 @@
     client.send(text);
     client.arrived().expect("a response");
     let first_byte_after = started_at.elapsed();
-    let mut bytes = Vec::new();
-    while started_at.elapsed() < MAX_READ_TIME {
-        match client.arrived() {
-            Ok([]) | Err(_) => break,
-            Ok(read) => bytes.extend_from_slice(read),
-        }
-        let count = client.reader.buffer().len();
-        client.reader.consume(count);
-    }
+    let bytes = read_to_end(client, MAX_READ_TIME);
     let ended_after = started_at.elapsed();
-    let head_end = bytes.windows(4).position(|window| window == b"\r\n\r\n").map_or(bytes.len(), |at| at + 4);
-    let head = String::from_utf8_lossy(&bytes[..head_end]).into_owned();
-    Received { head, first_byte_after, ended_after, content: chunked_content(&bytes[head_end..]) }
-}
-
-/// The length of a chunked content; `None` if it is cut off.
-fn chunked_content(mut body: &[u8]) -> Option<usize> {
-    let mut content = 0;
-    loop {
-        let end = body.windows(2).position(|window| window == b"\r\n")?;
-        let size = usize::from_str_radix(std::str::from_utf8(&body[..end]).ok()?, 16).ok()?;
-        if size == 0 {
-            return Some(content);
-        }
-        content += size;
-        body = body.get(end + 2 + size + 2..)?;
-    }
+    let (head, content) = split_response(&bytes);
+    Received { head, first_byte_after, ended_after, content }
 }
 
 /// The number in a correlation id `class-number-framing`.
