--- a/crates/http-proxy/src/http_grammar/fields.rs
+++ b/crates/http-proxy/src/http_grammar/fields.rs
@@ -123,14 +123,15 @@
     matches!(cursor.0, [b'q' | b'Q', b'=', ..])
 }
 
-/// `"q=" qvalue`.
+/// `"q=" qvalue`. The Java runtime's HTTP client omits the zero before the point.
 fn weight_value(cursor: &mut Cursor<'_>) -> bool {
     if !is_weight(cursor) {
         return false;
     }
     cursor.0 = &cursor.0[2..];
     let is_one = cursor.skip_byte(b'1');
-    if !is_one && !cursor.skip_byte(b'0') {
+    let is_zero = !is_one && (cursor.skip_byte(b'0') || cursor.next_is(|byte| byte == b'.'));
+    if !is_one && !is_zero {
         return false;
     }
     let is_digit = |byte: u8| if is_one { byte == b'0' } else { byte.is_ascii_digit() };
@@ -150,9 +151,15 @@
     cursor.token() && cursor.skip_byte(b'/') && cursor.token() && parameters(cursor)
 }
 
-/// `media-range [ weight ]`: `*` is a token.
+/// `media-range [ weight ]`: `*` is a token. The Java runtime's HTTP client sends it alone for any type.
 fn media_range(cursor: &mut Cursor<'_>) -> bool {
-    media_type(cursor)
+    match cursor.0 {
+        [b'*', rest @ ..] if !rest.starts_with(b"/") => {
+            cursor.0 = rest;
+            parameters(cursor)
+        }
+        _ => media_type(cursor),
+    }
 }
 
 /// `"trailers" / ( transfer-coding [ weight ] )`, with white space allowed around the equals sign of a parameter.
