Evict the next stalled client if the first one has bytes that wait to be read

Callers saw: 503 after 7.8 s with 1.3 s left, while 400 clients had stopped within their bodies and one large request stood before a backend that did not read. Now a connection that was selected in vain is passed over for 300 ms. No cost to honest clients: nobody is evicted who was not before.

--- a/crates/http-proxy/src/client_connection.rs
+++ b/crates/http-proxy/src/client_connection.rs
@@ -45,6 +45,8 @@
 /// After this time without a byte, a request's body has stopped arriving. Slower clients are served as long as
 /// no other client needs their connection.
 const BODY_STALL_TIME: Duration = Duration::from_millis(300);
+/// The time for which a connection that could not be evicted is not selected again, so that others are.
+const EVICTION_RETRY_DELAY: Duration = Duration::from_millis(300);
 /// The time in which a response reaches its client after it was written.
 const RESPONSE_TRANSIT_TIME: Duration = Duration::from_millis(100);
 /// The maximum time for which a client may read nothing of a response that is ready to be sent.
@@ -147,6 +149,8 @@
     presence_checked_at: Cell<Option<Instant>>,
     disconnected: Cell<bool>,
     disconnect: Notify,
+    /// When it was last selected for eviction in vain.
+    eviction_postponed_at: Cell<Option<Instant>>,
     /// Notified to ask this connection to close in favour of another one.
     pub eviction: Notify,
 }
@@ -173,6 +177,7 @@
             presence_checked_at: Cell::new(None),
             disconnected: Cell::new(false),
             disconnect: Notify::new(),
+            eviction_postponed_at: Cell::new(None),
             eviction: Notify::new(),
         })
     }
@@ -393,6 +398,9 @@
     pub fn eviction_rank(&self, now: Instant) -> Option<EvictionRank> {
         let since = self.activity_since.get();
         let elapsed = now.saturating_duration_since(since);
+        if self.eviction_postponed_at.get().is_some_and(|at| now < at + EVICTION_RETRY_DELAY) {
+            return None;
+        }
         let class = match self.activity() {
             Activity::Idle if elapsed >= NEW_CONNECTION_TIME => EvictionClass::Idle,
             Activity::ReadingHead if elapsed >= PROMISED_HEAD_TIME => EvictionClass::HeadOverdue,
@@ -427,6 +435,11 @@
         }
     }
 
+    /// Records that it was selected for eviction and has bytes that wait to be read.
+    pub fn postpone_eviction(&self, now: Instant) {
+        self.eviction_postponed_at.set(Some(now));
+    }
+
     /// Records that a part of a streamed response was passed on.
     pub fn record_forwarded(&self, bytes: usize) {
         self.forwarded_bytes.set(self.forwarded_bytes.get() + bytes as u64);
--- a/crates/http-proxy/src/clients/serve.rs
+++ b/crates/http-proxy/src/clients/serve.rs
@@ -106,11 +106,12 @@
                 Ok(()) = phase.changed() => {}
                 () = connection.eviction.notified() => {
                     // Unread bytes may be a request, which the close would lose.
-                    let rank = connection.eviction_rank(Instant::now());
-                    if connection.can_be_evicted(Instant::now()) && connection.is_input_empty(&stream.borrow()) {
-                        record_eviction(connection, rank);
+                    let now = Instant::now();
+                    if connection.can_be_evicted(now) && connection.is_input_empty(&stream.borrow()) {
+                        record_eviction(connection, connection.eviction_rank(now));
                         return CloseMode::Immediate;
                     }
+                    connection.postpone_eviction(now);
                 }
                 () = sleep(check_interval) => {
                     if let Some(mode) = due_close(connection, &stream.borrow(), current_phase) {
--- a/crates/proxy-server/tests/hostile_peers/stalled_clients.rs
+++ b/crates/proxy-server/tests/hostile_peers/stalled_clients.rs
@@ -2,8 +2,8 @@
 
 use crate::support::{Client, Discovery, request};
 use crate::{request_with_time, start_backend, start_proxy, write_ok};
-use std::io::Write;
-use std::net::TcpStream;
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -41,6 +41,64 @@
     }
 }
 
+/// A backend that answers `read`, and reads nothing of the bodies of other requests.
+fn start_backend_that_reads_no_body() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("bind to a free port");
+    let address = listener.local_addr().expect("local address");
+    thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            thread::spawn(move || {
+                let mut reader = BufReader::new(stream.try_clone().expect("clone the stream"));
+                let (mut head, mut line) = (String::new(), String::new());
+                while reader.read_line(&mut line).is_ok_and(|count| count > 0) {
+                    head.push_str(&line);
+                    if line == "\r\n" && !head.starts_with("GET") {
+                        return thread::sleep(Duration::from_secs(20));
+                    }
+                    if line == "\r\n" {
+                        head.clear();
+                        write_ok(&mut stream, b"fine");
+                    }
+                    line.clear();
+                }
+            });
+        }
+    });
+    address
+}
+
+/// Guards against a crowd that keeps its places: the first in line for eviction had bytes that wait for its backend.
+#[test]
+fn upload_before_a_blocked_backend_keeps_no_stalled_client_from_eviction() {
+    const UPLOADED: usize = 6_000_000;
+    let discovery = Discovery::start();
+    let proxy = start_proxy("blocked-first", &discovery, &[start_backend_that_reads_no_body(); 4]);
+    let text = request("charge", "blocked", "").replace("Length: 0", "Length: 20000000");
+    let blocked = Client::connect(proxy.address);
+    let mut writer = blocked.stream.try_clone().expect("clone the stream");
+    thread::spawn(move || {
+        let _ = writer.write_all(text.as_bytes());
+        let _ = writer.write_all(&vec![b'x'; UPLOADED]);
+    });
+    thread::sleep(Duration::from_millis(500));
+    let half = request("charge", "half", "").replace("Length: 0", "Length: 4000");
+    let crowd: Vec<_> = (0..CROWD)
+        .map(|n| {
+            let mut stream = TcpStream::connect(proxy.address).expect("connect to the proxy");
+            let _ = stream.write_all(half.replace("half", &format!("half{n}")).as_bytes());
+            stream
+        })
+        .collect();
+    for n in 0..10 {
+        let started_at = Instant::now();
+        let text = request_with_time("read", &format!("s{n}"), "", TIME_LEFT.as_millis() as u64);
+        let status = Client::connect(proxy.address).exchange(&text).status();
+        let elapsed = started_at.elapsed();
+        assert!(elapsed < TIME_LEFT + LATENESS_LIMIT, "{status} after {elapsed:?}");
+    }
+    drop((crowd, blocked));
+}
+
 #[test]
 fn slow_but_steady_uploads_are_not_evicted() {
     let discovery = Discovery::start();
